--- a/include/camphorreach/balancing.h
+++ b/include/camphorreach/balancing.h
@@ -4,6 +4,7 @@
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/random.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,8 @@
     double latencyUs = 0.0; ///< Smoothed, in microseconds; zero when unknown.
     double readiness = 1.0; ///< Less than one during slow start; never zero.
     double reportedQueue = 0.0; ///< What the gate last said, in parts of its slots; a hint.
+    double occupied = 0.0; ///< Requests at the gate, of all nodes, as far as this node knows.
+    double slots = 1.0; ///< As announced; at least one.
 };
 
 /// Picks an index into a non-empty list.
@@ -80,6 +83,35 @@
     }
 };
 
+/// The candidate whose slots are the least occupied for the time that its answers take, among equals
+/// a random one.
+struct LeastOccupied
+{
+    static constexpr double coldFactor = 1.5; ///< A cold start about doubles the time of an answer.
+
+    [[nodiscard]] std::size_t pick(std::span<const Candidate> candidates,
+                                   RandomSource &random) const
+    {
+        // A target without answers yet is taken for a cold one, slower than all others.
+        double slowest = 1.0;
+        for (const Candidate &candidate : candidates)
+            slowest = std::max(slowest, candidate.latencyUs);
+        const auto cost = [slowest](const Candidate &candidate) {
+            const double latency
+                = candidate.latencyUs > 0.0 ? candidate.latencyUs : coldFactor * slowest;
+            return (candidate.occupied + 1.0) / candidate.slots * latency;
+        };
+        const std::size_t start = uniformBelow(random, candidates.size());
+        std::size_t best = start;
+        for (std::size_t i = 1; i < candidates.size(); ++i) {
+            const std::size_t index = (start + i) % candidates.size();
+            if (cost(candidates[index]) < cost(candidates[best]))
+                best = index;
+        }
+        return best;
+    }
+};
+
 /// A random candidate, whatever its load: the baseline for measurements.
 struct RandomChoice
 {
@@ -92,6 +124,6 @@
 
 static_assert(
     BalancingPolicy<
-        PowerOfTwoChoices> && BalancingPolicy<LeastCost> && BalancingPolicy<RandomChoice>);
+        PowerOfTwoChoices> && BalancingPolicy<LeastCost> && BalancingPolicy<LeastOccupied> && BalancingPolicy<RandomChoice>);
 
 } // namespace camphorreach
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/crashcontainment.h>
+#include <camphorreach/decision.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/gatequeue.h>
@@ -29,8 +30,9 @@
 public:
     using Input = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult,
                                BackendReachable, BackendLeaving, PeerReceived<QuarantineMessage>,
-                               EndpointsChanged, DrainStarted>;
-    using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained>;
+                               EndpointsChanged, DrainStarted, BackendAnnounced>;
+    using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained,
+                                GateDecision>;
 
     struct Counts
     {
@@ -47,6 +49,9 @@
     struct Limits
     {
         std::uint32_t slots = 1;
+        /// Nothing is handed over before the backend server has announced itself. Its slots, service
+        /// and version are then as announced.
+        bool needsAnnouncement = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -86,6 +91,9 @@
     void onCancel(LinkId link, std::optional<RequestId> id, TimePoint now, Outbox<Output> &outbox);
     void cancelCalls(LinkId link, std::optional<RequestId> id, Outbox<Output> &outbox);
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
+    void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
+    [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
+    [[nodiscard]] Duration expectedWait(const GateWork &work) const;
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
 
@@ -101,6 +109,7 @@
 
     void reportIfDrained(Outbox<Output> &outbox);
     void refuse(const GateWork &work, NotRunReason reason, TimePoint now, Outbox<Output> &outbox);
+    void refuse(const GateWork &work, NotRun notRun, TimePoint now, Outbox<Output> &outbox);
     void refuseAll(const std::vector<GateWork> &works, NotRunReason reason, TimePoint now,
                    Outbox<Output> &outbox);
     void settle(const GateWork &work, bool hasListener, const Outcome &outcome, bool isCrashSuspect,
@@ -108,14 +117,18 @@
     void reply(const GateWork &work, Outcome outcome, bool isCrashSuspect, Outbox<Output> &outbox);
 
     const Limits m_limits;
-    const ServiceName m_service;
+    std::uint32_t m_slots; // as announced, or of the limits
+    ServiceName m_service;
+    BackendVersion m_version; // empty until it is announced
+    InstanceId m_server; // empty until it is announced
+    bool m_isAccepting; // as announced
     QuarantineSpread m_spread;
     GateQueue m_queue;
     GateQueue m_isolated; // suspects, each of which will run alone
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
-    Calls m_running; // at most m_limits.slots, and only one while m_alone is set
+    Calls m_running; // at most m_slots, and only one while m_alone is set
     std::optional<CallId> m_alone; // the suspect that runs alone
     std::optional<TimePoint> m_holdSince; // since when slots are kept free for a suspect
     TimePoint m_nextIsolation {}; // no suspect runs before
--- a/include/camphorreach/gatequeue.h
+++ b/include/camphorreach/gatequeue.h
@@ -51,6 +51,8 @@
     /// Takes the requests with this content.
     [[nodiscard]] std::vector<GateWork> takeWith(Digest fingerprint);
 
+    /// How many of the waiting requests would run before \a work.
+    [[nodiscard]] std::size_t countBefore(const GateWork &work) const;
     [[nodiscard]] std::optional<TimePoint> earliestDeadline() const;
     [[nodiscard]] bool isEmpty() const noexcept { return m_entries.empty(); }
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
--- a/include/camphorreach/impl/adminendpoint.h
+++ b/include/camphorreach/impl/adminendpoint.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace camphorreach::impl {
 
@@ -20,18 +22,21 @@
     /// Answers one path. Runs on the admin thread and may wait shortly for a filter.
     using Handler = std::function<HttpResponse(const HttpRequest &)>;
 
-    AdminEndpoint(const NetAddress &address, std::map<std::string, Handler> handlers);
+    /// Listens on all \a addresses. A path that ends with a slash stands for all paths that begin
+    /// with it.
+    AdminEndpoint(const std::vector<NetAddress> &addresses,
+                  std::map<std::string, Handler> handlers);
 
     void start() { m_thread.start(); }
     void stop() { m_thread.stop(); }
-    [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+    [[nodiscard]] std::uint16_t port() const { return m_servers.front()->port(); }
 
 private:
-    void onRequest(ExchangeId exchange, const HttpRequest &request);
+    [[nodiscard]] HttpResponse respond(const HttpRequest &request) const;
 
     IoThread m_thread;
     std::map<std::string, Handler> m_handlers; // by path, without the query
-    HttpServer m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_servers; // one for each address
 };
 
 } // namespace camphorreach::impl
--- a/include/camphorreach/impl/http.h
+++ b/include/camphorreach/impl/http.h
@@ -1,6 +1,7 @@
 // HTTP messages as plain structures, so that only two source files depend on the HTTP library.
 #pragma once
 
+#include <camphorreach/headerfield.h>
 #include <camphorreach/request.h>
 
 #include <cstdint>
@@ -10,11 +11,7 @@
 
 namespace camphorreach::impl {
 
-struct HttpHeader
-{
-    std::string name;
-    std::string value;
-};
+using HttpHeader = HeaderField;
 
 struct HttpRequest
 {
--- a/include/camphorreach/impl/httpclient.h
+++ b/include/camphorreach/impl/httpclient.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <variant>
 
 namespace boost::asio {
@@ -41,8 +42,25 @@
     using Completion = std::function<void(HttpResult &&)>;
     using CallHandle = std::uint64_t;
 
+    struct Options
+    {
+        /// A body without a length ends with its connection, unless that is reset. Otherwise such
+        /// an answer fails.
+        bool acceptsUnframed = false;
+        /// Whether a response answers the request, for servers that send more responses than they
+        /// should. Others are dropped. May be empty.
+        std::function<bool(const HttpRequest &, const HttpResponse &)> isOwnAnswer {};
+        /// An idle connection is not used again after this time, or after what the server states.
+        Duration idleLimit = std::chrono::hours(1);
+        std::size_t bodyBytes = maxBodyBytes;
+    };
+
     /// At most \a maxConnections are open; further calls wait in order, within their timeout.
-    HttpClient(boost::asio::io_context &io, NetAddress server, std::size_t maxConnections);
+    HttpClient(boost::asio::io_context &io, NetAddress server, std::size_t maxConnections)
+        : HttpClient(io, std::move(server), maxConnections, Options {})
+    { }
+    HttpClient(boost::asio::io_context &io, NetAddress server, std::size_t maxConnections,
+               Options options);
     ~HttpClient();
 
     /// Sends one request. \a done runs once, also after cancel().
--- a/include/camphorreach/impl/httpserver.h
+++ b/include/camphorreach/impl/httpserver.h
@@ -3,6 +3,7 @@
 
 #include <camphorreach/impl/http.h>
 #include <camphorreach/netaddress.h>
+#include <camphorreach/routetable.h>
 #include <camphorreach/units.h>
 
 #include <cstddef>
@@ -36,6 +37,8 @@
                Handlers handlers);
     ~HttpServer();
 
+    /// What clients may send from their next request on.
+    void setLimits(const HttpLimits &limits);
     /// Ignored when the client has gone.
     void respond(ExchangeId exchange, HttpResponse response);
     /// Ends the connection of the exchange without a response, as a crashed process would.
--- a/include/camphorreach/impl/iothread.h
+++ b/include/camphorreach/impl/iothread.h
@@ -70,8 +70,8 @@
 private:
     void drain()
     {
-        while (std::optional<T> message = m_ring.tryPop())
-            m_handler(std::move(*message));
+        for (T &message : m_ring.tryPopAll())
+            m_handler(std::move(message));
     }
 
     Ring<T> m_ring;
--- a/include/camphorreach/impl/peerendpoint.h
+++ b/include/camphorreach/impl/peerendpoint.h
@@ -15,7 +15,8 @@
 using PeerEvent
     = std::variant<PeerReceived<ForwardAnswer>, LinkDown, ForwardReceived, CancelReceived,
                    LinkClosed, PeerReceived<MembershipMessage>, PeerReceived<ConfigMessage>,
-                   PeerReceived<MoveMessage>, PeerReceived<QuarantineMessage>>;
+                   PeerReceived<MoveMessage>, PeerReceived<QuarantineMessage>,
+                   PeerReceived<CatalogMessage>, PeerReceived<RolloutMessage>>;
 
 class PeerEndpoint
 {
--- a/include/camphorreach/impl/tomlreader.h
+++ b/include/camphorreach/impl/tomlreader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/finding.h>
+#include <camphorreach/log.h>
 #include <camphorreach/netaddress.h>
 
 #include <camphorreach/impl/toml.h>
@@ -46,4 +47,7 @@
     std::set<std::string, std::less<>> m_known;
 };
 
+/// The key "level" of a table about logs: debug, info, warning or error; info when it is missing.
+[[nodiscard]] LogLevel readLogLevel(TomlReader &reader);
+
 } // namespace camphorreach::impl
--- a/include/camphorreach/membership.h
+++ b/include/camphorreach/membership.h
@@ -20,6 +20,15 @@
 struct NodeLeaving
 { };
 
+/// What the node's own backend server is now, and whether it takes work.
+struct SelfChanged
+{
+    ServiceName service;
+    BackendVersion version;
+    std::uint32_t slots = 1;
+    bool isAccepting = false;
+};
+
 /// Nodes named in the platform, through which a node without members can join.
 struct JoinPeers
 {
@@ -32,7 +41,7 @@
 {
 public:
     using Input = std::variant<PeerReceived<MembershipMessage>, BackendReachable, BackendLeaving,
-                               DrainStarted, NodeLeaving, JoinPeers>;
+                               DrainStarted, NodeLeaving, JoinPeers, SelfChanged>;
     using Output = std::variant<PeerSend, EndpointsChanged>;
 
     Membership(Endpoint self, std::vector<NetAddress> seeds, RandomSource &random);
@@ -77,6 +86,8 @@
     std::vector<MemberUpdate> learn(const std::vector<MemberUpdate> &updates, TimePoint now,
                                     bool isToSpread = true);
     void refute(const MemberUpdate &claim);
+    void onSelf(SelfChanged &&changed, TimePoint now, Outbox<Output> &outbox);
+    void announceSelf(TimePoint now, Outbox<Output> &outbox);
     void updateState(TimePoint now, Outbox<Output> &outbox);
     void leave(TimePoint now, Outbox<Output> &outbox);
 
@@ -119,6 +130,7 @@
     bool m_isLeaving = false;
     bool m_isBackendReachable = true;
     bool m_isBackendLeaving = false;
+    bool m_isAccepting = true; // as the backend server last announced
     bool m_isDraining = false; // never becomes false again
 };
 
--- a/include/camphorreach/moveshares.h
+++ b/include/camphorreach/moveshares.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace camphorreach {
@@ -15,6 +16,9 @@
 {
     std::map<BackendVersion, Share> shares;
     std::set<BackendVersion> banned; ///< Judged bad: no request goes there, whatever the weights.
+    /// With a candidate: its share of the requests; the established version has the rest.
+    std::optional<BackendVersion> candidate {};
+    Share candidateShare {};
 };
 
 struct MoveShares
--- a/include/camphorreach/outcome.h
+++ b/include/camphorreach/outcome.h
@@ -1,6 +1,9 @@
 // Outcomes of a request, as a guest is told them.
 #pragma once
 
+#include <camphorreach/headerfield.h>
+#include <camphorreach/units.h>
+
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -13,6 +16,7 @@
     std::uint16_t status = 200;
     std::string contentType;
     std::string body;
+    HeaderFields headers {}; ///< To be passed on beside the content type.
 
     friend bool operator==(const Answered &, const Answered &) = default;
 };
@@ -27,6 +31,7 @@
     Quarantined,
     Unreachable,
     Malformed,
+    BackendRefused, ///< The backend server itself turned the request away, unrun.
     KeyReused, ///< The idempotency key belongs to a request with another content.
 };
 
@@ -34,6 +39,8 @@
 struct NotRun
 {
     NotRunReason reason = NotRunReason::Overloaded;
+    /// When the guest may come back; zero leaves that to the front end.
+    Duration retryAfter {};
 
     friend bool operator==(const NotRun &, const NotRun &) = default;
 };
--- a/include/camphorreach/peermessage.h
+++ b/include/camphorreach/peermessage.h
@@ -1,12 +1,14 @@
 // What nodes send each other, and the commands and events of the endpoint that carries it.
 #pragma once
 
+#include <camphorreach/catalogmessage.h>
 #include <camphorreach/configmessage.h>
 #include <camphorreach/membershipmessage.h>
 #include <camphorreach/movemessage.h>
 #include <camphorreach/netaddress.h>
 #include <camphorreach/quarantinemessage.h>
 #include <camphorreach/request.h>
+#include <camphorreach/rolloutmessage.h>
 
 #include <cstdint>
 #include <variant>
@@ -24,7 +26,7 @@
 using LinkMessage = std::variant<LinkClosing>;
 
 using PeerMessage = std::variant<RequestMessage, MembershipMessage, ConfigMessage, MoveMessage,
-                                 QuarantineMessage, LinkMessage>;
+                                 QuarantineMessage, LinkMessage, CatalogMessage, RolloutMessage>;
 
 enum class Transport : std::uint8_t {
     Datagram, ///< May be lost; at most maxDatagramBytes.
--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -22,16 +22,21 @@
     {
         RequestId forwardId;
         Attempted where;
+        bool isSpilled = false; ///< To another failure domain than the own.
     };
 
     GuestRequest request;
     TimePoint arrivedAt {};
     TimePoint deadline {};
     std::shared_ptr<const Snapshot> snapshot {}; ///< Null until a configuration is held.
+    ServiceName serviceName {}; ///< As the guest named it, or as the route says.
     const ServicePolicy *service = nullptr; ///< Inside `snapshot`.
     const RoutePolicy *route = nullptr; ///< Inside `snapshot`.
     PlacementState placement {};
     std::optional<Current> current {};
+    InstanceId lastTarget {}; ///< Of the latest attempt.
+    bool wasSpilled = false; ///< The latest attempt left the failure domain.
+    Duration longestWait {}; ///< At the gates that refused it, as they said.
     std::uint32_t attempts = 0;
     std::uint32_t refusals = 0; ///< Attempts that proved "not run".
     NotRunReason waitReason = NotRunReason::NoConfiguration;
@@ -40,9 +45,10 @@
     bool isHomeUnreachable = false; ///< The key may have run at a home that cannot be asked.
     bool isCrashSuspect = false; // as the gate said with its latest answer
 
-    /// Fixes snapshot, route and deadline. \a held may be null, which leaves the request without a
+    /// Fixes snapshot, service, route and deadline. \a random chooses among the parts of a route
+    /// whose traffic is split. \a held may be null, which leaves the request without a
     /// route until the first configuration. False when the snapshot has no route.
-    [[nodiscard]] bool resolve(const std::shared_ptr<const Snapshot> &held);
+    [[nodiscard]] bool resolve(const std::shared_ptr<const Snapshot> &held, RandomSource &random);
 
     [[nodiscard]] std::uint32_t weight() const noexcept;
     /// True for run-once requests with a key.
@@ -54,6 +60,9 @@
     /// have run.
     [[nodiscard]] bool mayRunAgain() const noexcept;
 
+    /// The host and the path select the route, rather than the service that the guest names.
+    [[nodiscard]] bool isRoutedByHost() const noexcept { return request.service == ServiceName(); }
+
     /// The message for the current attempt.
     [[nodiscard]] ForwardRequest toForward(TimePoint now) const;
     /// What the guest is told when the last attempt or the wait ends with \a last: an earlier
--- a/include/camphorreach/placement.h
+++ b/include/camphorreach/placement.h
@@ -29,6 +29,7 @@
 {
     std::optional<BackendVersion> version; ///< Drawn for the next attempt; kept while it waits.
     std::vector<NetAddress> avoided; ///< Targets of failed attempts; at most one for each attempt.
+    bool maySpill = true; ///< Whether full gates of the own failure domain are a reason to leave it.
     bool isFreshKey = false; ///< The key has not run anywhere.
     std::vector<InstanceId> drainingHomes; ///< Homes of the key that refused because they drain.
 };
@@ -65,15 +66,22 @@
 
     using Result = std::variant<const Endpoint *, PlacementFailure>;
 
-    Placement(FailureDomain domain, RandomSource &random, Policy policy = {});
+    /// \a hasLimits: a target has room up to the limit that this node has learned. Otherwise the
+    /// gates alone decide what they take.
+    Placement(FailureDomain domain, RandomSource &random, Policy policy = {},
+              bool hasLimits = true);
 
     void update(std::shared_ptr<const EndpointTable> table, TimePoint now);
     void update(std::shared_ptr<const MoveShares> shares) { m_shares = std::move(shares); }
 
-    /// Picks a target. An endpoint is valid until the next update. \a key is empty for requests
-    /// without a home.
     /// Whether the instance announces that it takes no new work.
     [[nodiscard]] bool isDraining(const ServiceName &service, const InstanceId &instance) const;
+    [[nodiscard]] bool isElsewhere(const Endpoint &endpoint) const
+    {
+        return endpoint.domain != m_domain;
+    }
+    /// Picks a target. An endpoint is valid until the next update. \a key is empty for requests
+    /// without a home.
     [[nodiscard]] Result place(const ServicePolicy &service, const IdempotencyKey &key,
                                PlacementState &state, TimePoint now);
 
@@ -118,10 +126,14 @@
     [[nodiscard]] std::size_t tierOf(const Endpoint &endpoint, const std::string &region) const;
     void updateTargets(TimePoint now);
     void limitToSubset(std::vector<Place> &places) const;
+    // The version for a service whose weights the tree does not give.
+    [[nodiscard]] std::optional<BackendVersion> openVersion(const ServiceIndex &index,
+                                                            const ServiceShares *move);
 
     const FailureDomain m_domain;
     RandomSource &m_random;
     Policy m_policy;
+    const bool m_hasLimits;
     const std::uint64_t m_subsetSeed; // differs between nodes, so that their subsets differ
     std::shared_ptr<const EndpointTable> m_table; // keeps the endpoints of the index alive
     std::shared_ptr<const MoveShares> m_shares;
--- a/include/camphorreach/quarantinespread.h
+++ b/include/camphorreach/quarantinespread.h
@@ -17,6 +17,8 @@
     /// \a service and \a self are those of this node; \a random is owned by the caller.
     QuarantineSpread(ServiceName service, NetAddress self, RandomSource &random);
 
+    /// The service whose gates are told; takes effect with the next setPeers().
+    void setService(const ServiceName &service) { m_service = service; }
     void setPeers(const EndpointsChanged &changed);
 
     /// This gate has found something out: all gates of the service are told.
@@ -34,7 +36,7 @@
 private:
     std::vector<PeerSend> sendTo(const std::vector<QuarantineEntry> &entries, std::size_t fanOut);
 
-    const ServiceName m_service;
+    ServiceName m_service;
     const NetAddress m_self;
     RandomSource &m_random;
     std::vector<NetAddress> m_peers; // gates of the same service, without this one
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -1,6 +1,7 @@
 // Messages of a request on its way: guest, router, gate, backend server.
 #pragma once
 
+#include <camphorreach/headerfield.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/netaddress.h>
 #include <camphorreach/outcome.h>
@@ -20,6 +21,9 @@
 /// A call from a gate to its backend server; never reused within a run.
 using CallId = Strong<struct CallIdTag, std::uint64_t>;
 
+/// Id that the guest gave to this attempt of its own; it travels with the request and names it in logs.
+using GuestAttemptId = Strong<struct GuestAttemptIdTag, std::string>;
+
 /// Largest request or answer body, in bytes.
 inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
 /// Deepest call chain; a deeper request is refused as malformed.
@@ -32,6 +36,8 @@
     std::string target; ///< Path and query below the service's prefix, starting with "/".
     std::string contentType;
     std::string body;
+    std::string host {}; ///< The host that the guest asked for; selects a route together with the path.
+    HeaderFields headers {}; ///< Passed on beside the content type, as they came.
 
     friend bool operator==(const RequestContent &, const RequestContent &) = default;
 };
@@ -40,7 +46,7 @@
 struct GuestRequest
 {
     RequestId id;
-    ServiceName service;
+    ServiceName service; ///< Empty when the host and the path select the route.
     Duration budget {}; ///< Time left; zero means that the route's deadline applies.
     IdempotencyKey key;
     bool isFreshKey = false; ///< The guest states that it has never sent `key` before.
@@ -48,6 +54,8 @@
     /// Attempt in which the caller itself was called; zero or one when it was no retry.
     Attempt callerAttempt {};
     RequestContent content;
+    GuestAttemptId attemptId {};
+    ServiceName caller {}; ///< The service beside whose backend server the request began.
 };
 
 /// The guest closed its connection before the answer.
@@ -81,6 +89,10 @@
     Attempt attempt;
     ConfigVersion configVersion;
     RequestContent content;
+    GuestAttemptId attemptId {};
+    ServiceName caller {};
+    /// Sent to another failure domain than the entry node's own; the first to be shed.
+    bool isSpilled = false;
 
     friend bool operator==(const ForwardRequest &, const ForwardRequest &) = default;
 };
@@ -156,6 +168,7 @@
 {
     CallId id;
     ForwardRequest request; ///< `budget` is the time left for the call.
+    InstanceId server {}; ///< The backend server that is meant; empty when its id is not known.
 };
 
 struct BackendCancel
@@ -185,6 +198,19 @@
     bool isReachable = false;
 };
 
+/// What the backend server says of itself, once it has been checked and put in order.
+struct BackendAnnounced
+{
+    InstanceId server; ///< Id that the backend server gave itself; differs between its starts.
+    ServiceName service;
+    BackendVersion version;
+    std::uint32_t slots = 1; ///< Requests that it runs at the same time.
+    bool isAccepting = false; ///< False when it leaves, has gone, or has been silent for too long.
+    Duration warmUpLeft {}; ///< How much longer it is slow after its start.
+
+    friend bool operator==(const BackendAnnounced &, const BackendAnnounced &) = default;
+};
+
 /// The backend server is about to stop, or stays after all. Ends by itself once a backend server
 /// is reachable again.
 struct BackendLeaving
--- a/include/camphorreach/requestsample.h
+++ b/include/camphorreach/requestsample.h
@@ -22,6 +22,7 @@
     InstanceId instance; ///< Of the backend server.
     SampleResult result = SampleResult::Success;
     Duration latency {};
+    bool isAnswered = false; ///< The backend server itself gave the answer, good or bad.
     bool isCrashSuspect = false; ///< The request itself is suspected of crashing backend servers.
 };
 
--- a/include/camphorreach/retrybudget.h
+++ b/include/camphorreach/retrybudget.h
@@ -16,10 +16,17 @@
 class RetryBudget
 {
 public:
-    /// A bucket starts full up to this many tokens, so that a service with few requests can retry.
-    static constexpr double initialTokens = 5.0;
-    /// Bounds the burst of retries after a long time without failures.
-    static constexpr double maxTokens = 50.0;
+    struct Limits
+    {
+        /// A bucket starts full up to this many tokens, so that a service with few requests can
+        /// retry.
+        double initialTokens = 5.0;
+        /// Bounds the burst of retries after a long time without failures.
+        double maxTokens = 50.0;
+    };
+
+    RetryBudget() = default;
+    explicit RetryBudget(Limits limits) : m_limits(limits) { }
 
     /// Counts a first attempt, which earns the part \a ratio of a retry.
     void deposit(const ServiceName &service, CallDepth depth, Share ratio);
@@ -39,7 +46,8 @@
         friend auto operator<=>(const Key &, const Key &) = default;
     };
 
-    std::map<Key, double> m_tokens; // in [0, maxTokens]; at most services times maxCallDepth
+    Limits m_limits {};
+    std::map<Key, double> m_tokens; // in [0, m_limits.maxTokens]; at most services times maxCallDepth
 };
 
 } // namespace camphorreach
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/balancing.h>
+#include <camphorreach/decision.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/moveshares.h>
@@ -35,7 +36,7 @@
 public:
     using Input = std::variant<GuestRequest, GuestGone, PeerReceived<ForwardAnswer>, LinkDown,
                                SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainStarted>;
-    using Output = std::variant<GuestAnswer, PeerSend, RequestSample>;
+    using Output = std::variant<GuestAnswer, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
     {
@@ -50,9 +51,22 @@
         std::uint64_t unmatchedAnswers = 0; ///< Late, crossed or duplicate, and dropped.
     };
 
+    struct Options
+    {
+        /// Requests wait here for a target with room, and go back to refusing ones after a pause.
+        /// Otherwise they wait at gates only, and what no gate takes is refused at once.
+        bool waitsForRoom = true;
+        std::uint32_t maxRefusals = 3; ///< Gates that are asked when requests do not wait here.
+        RetryBudget::Limits retries {};
+    };
+
     /// \a maxInFlight bounds the requests that wait for an outcome. At most half of them wait for
     /// a target.
-    BasicRouter(FailureDomain domain, std::size_t maxInFlight, RandomSource &random);
+    BasicRouter(FailureDomain domain, std::size_t maxInFlight, RandomSource &random)
+        : BasicRouter(std::move(domain), maxInFlight, Options {}, random)
+    { }
+    BasicRouter(FailureDomain domain, std::size_t maxInFlight, Options options,
+                RandomSource &random);
 
     void process(Input input, TimePoint now, Outbox<Output> &outbox);
     void advance(TimePoint now, Outbox<Output> &outbox);
@@ -75,7 +89,8 @@
 
     void place(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool tryPlace(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
-    void wait(PendingRequest &pending, TimePoint notBefore, Outbox<Output> &outbox);
+    void wait(PendingRequest &pending, TimePoint notBefore, TimePoint now,
+              Outbox<Output> &outbox);
     void dispatch(const ServiceName &service, TimePoint now, Outbox<Output> &outbox);
     void dispatchAll(TimePoint now, Outbox<Output> &outbox);
     void send(PendingRequest &pending, const Endpoint &endpoint, TimePoint now,
@@ -87,14 +102,21 @@
                        Outbox<Output> &outbox);
     void onNotRun(PendingRequest &pending, NotRun notRun, const Attempted &where, TimePoint now,
                   Outbox<Output> &outbox);
+    void placeElsewhere(PendingRequest &pending, NotRun notRun, const Attempted &where,
+                        TimePoint now, Outbox<Output> &outbox);
     void emitSample(const PendingRequest &pending, const Attempted &where, SampleResult result,
-                    TimePoint now, Outbox<Output> &outbox) const;
-    void finish(RequestId guestId, Outcome outcome, Outbox<Output> &outbox);
+                    bool isAnswered, TimePoint now, Outbox<Output> &outbox) const;
+    void finish(RequestId guestId, Outcome outcome, TimePoint now, Outbox<Output> &outbox);
+    void report(const PendingRequest &pending, const Outcome &outcome, TimePoint now,
+                Outbox<Output> &outbox) const;
     void expire(RequestId guestId, TimePoint now, Outbox<Output> &outbox);
 
     [[nodiscard]] bool isTooLate(const PendingRequest &pending, TimePoint now) const;
     [[nodiscard]] Duration backoff(std::uint32_t refusals);
+    [[nodiscard]] Duration returnAfter(const PendingRequest &pending, const NotRun &notRun,
+                                       TimePoint now);
 
+    const Options m_options;
     const std::size_t m_maxInFlight;
     RandomSource &m_random; // seeded and owned by whoever builds the filter
     std::shared_ptr<const Snapshot> m_snapshot;
@@ -112,6 +134,9 @@
 /// The router of a node; docs/notes/balancing.md has the measurement behind the choice of policy.
 using Router = BasicRouter<LeastCost>;
 
-static_assert(Filter<Router>);
+/// The router of a node whose requests wait at gates only, with the room that gates report.
+using MeshRouter = BasicRouter<LeastOccupied>;
+
+static_assert(Filter<Router> && Filter<MeshRouter>);
 
 } // namespace camphorreach
--- a/include/camphorreach/servicetimes.h
+++ b/include/camphorreach/servicetimes.h
@@ -17,6 +17,11 @@
     void record(const RouteName &route, Duration taken);
     /// The usual time, or zero as long as there are too few samples to tell.
     [[nodiscard]] Duration usual(const RouteName &route) const;
+    /// The usual time over all routes, weighted by their use; zero before the first samples.
+    [[nodiscard]] Duration overall() const noexcept
+    {
+        return m_overall.samples < minSamples ? Duration::zero() : m_overall.mean;
+    }
     /// A request was refused because of the usual time. Lowers the average a little: otherwise one
     /// slow period could refuse every request, and no new sample would ever correct it.
     void noteRefusal(const RouteName &route);
@@ -28,6 +33,9 @@
         std::uint32_t samples = 0;
     };
 
+    static constexpr std::uint32_t minSamples = 8; // fewer may all be of a cold start
+
+    Average m_overall;
     std::map<RouteName, Average> m_averages; // at most maxRoutes
 };
 
--- a/include/camphorreach/snapshot.h
+++ b/include/camphorreach/snapshot.h
@@ -3,6 +3,7 @@
 
 #include <camphorreach/ids.h>
 #include <camphorreach/request.h>
+#include <camphorreach/routetable.h>
 #include <camphorreach/units.h>
 
 #include <cstdint>
@@ -14,18 +15,6 @@
 
 namespace camphorreach {
 
-/// What a route inherits and overrides, resolved.
-struct RoutePolicy
-{
-    RouteName name;
-    std::string prefix = "/"; ///< Path prefix below the service.
-    KindName kind;
-    std::uint32_t kindWeight = 1;
-    bool isIdempotent = false;
-    Duration deadline = std::chrono::seconds(1);
-    std::uint32_t maxAttempts = 3;
-};
-
 /// Weights of the two kinds of wrong decision on a move.
 struct MovePolicy
 {
@@ -45,7 +34,9 @@
 struct ServicePolicy
 {
     ServiceName name;
-    std::map<BackendVersion, Share> weights; // add up to the whole
+    /// Add up to the whole. When there are none, the version of most endpoints is used, until an
+    /// order moves the traffic.
+    std::map<BackendVersion, Share> weights;
     std::map<BackendVersion, VersionPolicy> versions; // the same keys as `weights`
     std::vector<RoutePolicy> routes; // longest prefix first
     Share retryBudget = Share::fromFraction(0.1); ///< Retries as a part of first attempts.
@@ -61,6 +52,9 @@
     ConfigVersion version;
     Digest digest;
     std::map<ServiceName, ServicePolicy> services;
+    /// Routes that are selected by the host and the path; empty where the guest names the service.
+    RouteTable hostRoutes {};
+    HttpLimits limits {};
 
     [[nodiscard]] const ServicePolicy *findService(const ServiceName &name) const noexcept;
 };
--- a/include/camphorreach/stage.h
+++ b/include/camphorreach/stage.h
@@ -6,6 +6,7 @@
 #include <camphorreach/ring.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -68,20 +69,20 @@
         }
         deliver();
         while (true) {
-            std::optional<Input> input = m_ring.pop(timeToDeadline());
-            if (!input && m_ring.isClosed())
+            std::deque<Input> inputs = m_ring.popAll(timeToDeadline());
+            if (inputs.empty() && m_ring.isClosed())
                 return;
-            step(std::move(input));
+            step(std::move(inputs));
             deliver();
         }
     }
 
-    void step(std::optional<Input> input)
+    void step(std::deque<Input> inputs)
     {
         const std::lock_guard lock(m_filterMutex);
         const TimePoint now = m_clock.now();
-        if (input)
-            m_filter->process(*std::move(input), now, m_outbox);
+        for (Input &input : inputs)
+            m_filter->process(std::move(input), now, m_outbox);
         const std::optional<TimePoint> deadline = m_filter->nextDeadline();
         if (deadline && *deadline <= now)
             m_filter->advance(now, m_outbox);
--- a/include/camphorreach/target.h
+++ b/include/camphorreach/target.h
@@ -21,6 +21,8 @@
     /// time.
     static constexpr Duration slowStartTime = std::chrono::seconds(10);
     static constexpr double slowStartFloor = 0.1;
+    /// Fraction of the limit under which every request fits.
+    static constexpr double unlimited = 1e9;
     /// An older report of a gate's load is not used.
     static constexpr Duration loadHintLifetime = std::chrono::seconds(1);
 
@@ -40,7 +42,11 @@
     [[nodiscard]] double readiness(TimePoint now) const noexcept;
     [[nodiscard]] Candidate candidate(const Endpoint &endpoint, TimePoint now) noexcept;
 
-    void onSent() noexcept { ++m_inFlight; }
+    void onSent() noexcept
+    {
+        ++m_inFlight;
+        ++m_sinceReport;
+    }
     void onEnded() noexcept;
     void onLoad(const GateLoad &load, TimePoint now) noexcept;
     /// A new process runs at the same address; requests in flight keep their count.
@@ -55,6 +61,8 @@
     std::optional<TimePoint> m_coldSince;
     std::uint32_t m_inFlight = 0; // requests of this node
     double m_reportedQueue = 0.0; // in parts of the slots, capped at 1
+    std::uint32_t m_reportedBusy = 0; // running and queued, of all nodes
+    std::uint32_t m_sinceReport = 0; // requests that this node has sent since
     TimePoint m_reportedAt {};
 };
 
--- a/src/bench/crash.cpp
+++ b/src/bench/crash.cpp
@@ -225,6 +225,7 @@
                            });
                        },
                        [&](GateDrained &) {},
+                       [](GateDecision &) {},
                    },
                    output);
     }
--- a/src/endpoints/adminendpoint.cpp
+++ b/src/endpoints/adminendpoint.cpp
@@ -30,20 +30,28 @@
                                           { "histograms", std::move(histograms) } });
 }
 
-AdminEndpoint::AdminEndpoint(const NetAddress &address, std::map<std::string, Handler> handlers)
-    : m_handlers(std::move(handlers)),
-      m_server(m_thread.io(), address, maxConnections,
-               { [this](ExchangeId id, HttpRequest &&request) { onRequest(id, request); }, {} })
-{ }
-
-void AdminEndpoint::onRequest(ExchangeId exchange, const HttpRequest &request)
+AdminEndpoint::AdminEndpoint(const std::vector<NetAddress> &addresses,
+                             std::map<std::string, Handler> handlers)
+    : m_handlers(std::move(handlers))
 {
-    const auto found = m_handlers.find(request.target.substr(0, request.target.find('?')));
-    if (found == m_handlers.end()) {
-        m_server.respond(exchange, { 404, {}, "there is no such path\n" });
-        return;
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        const auto onRequest = [this, i](ExchangeId exchange, HttpRequest &&request) {
+            m_servers[i]->respond(exchange, respond(request));
+        };
+        m_servers.push_back(std::make_unique<HttpServer>(
+            m_thread.io(), addresses[i], maxConnections, HttpServer::Handlers { onRequest, {} }));
     }
-    m_server.respond(exchange, found->second(request));
+}
+
+HttpResponse AdminEndpoint::respond(const HttpRequest &request) const
+{
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    auto found = m_handlers.find(path);
+    if (found == m_handlers.end())
+        found = m_handlers.find(path.substr(0, path.rfind('/') + 1));
+    if (found == m_handlers.end())
+        return { 404, {}, "there is no such path\n" };
+    return found->second(request);
 }
 
 } // namespace camphorreach::impl
--- a/src/endpoints/backendendpoint.cpp
+++ b/src/endpoints/backendendpoint.cpp
@@ -1,16 +1,12 @@
 // HTTP mapping of calls to the backend server.
 #include <camphorreach/impl/backendendpoint.h>
 
-#include <camphorreach/clock.h>
-#include <camphorreach/result.h>
-
 #include <string>
 #include <utility>
 
 namespace camphorreach::impl {
 namespace {
 
-constexpr std::size_t ringCapacity = 8192;
 constexpr std::uint16_t serviceUnavailable = 503;
 
 HttpRequest toHttp(ForwardRequest &&request)
@@ -31,6 +27,14 @@
     return http;
 }
 
+// A bare 503 is an answer: a backend server may send it after it has done a part of the work.
+bool isRefusal(const HttpResponse &response)
+{
+    return response.status == serviceUnavailable && response.header("X-Not-Run") == "1";
+}
+
+} // namespace
+
 BackendFailure toFailure(HttpFailure::Kind kind)
 {
     switch (kind) {
@@ -49,79 +53,17 @@
     return BackendFailure::Lost;
 }
 
-// A bare 503 is an answer: a backend server may send it after it has done a part of the work.
-bool isRefusal(const HttpResponse &response)
-{
-    return response.status == serviceUnavailable && response.header("X-Not-Run") == "1";
-}
-
-// The monitor takes one of the connections, unless there is only one.
-std::size_t callConnections(std::size_t maxConnections)
-{
-    return std::max<std::size_t>(1, maxConnections - 1);
-}
-
-} // namespace
-
-BackendEndpoint::BackendEndpoint(const NetAddress &backendServer, std::size_t maxConnections,
-                                 std::size_t warmConnections, Sink sink, MetricsRegistry &metrics)
-    : m_sink(std::move(sink)), m_latency(metrics.histogram("backend.latency")),
-      m_warmConnections(warmConnections),
-      m_client(m_thread.io(), backendServer, callConnections(maxConnections)),
-      m_monitor(m_thread.io(), backendServer,
-                [this](bool isReachable) { onReachable(isReachable); }),
-      m_inlet(m_thread.io(), ringCapacity, [this](BackendCommand &&command) {
-          std::visit(Overloaded { [this](BackendCall &call) { onCall(std::move(call)); },
-                                  [this](BackendCancel &cancel) { onCancel(cancel); } },
-                     command);
-      })
-{ }
-
-void BackendEndpoint::onCall(BackendCall &&call)
-{
-    const CallId id = call.id;
-    const TimePoint started = SteadyClock().now();
-    const Duration timeout = call.request.budget;
-    const auto handle = m_client.send(
-        toHttp(std::move(call.request)), timeout, [this, id, started](HttpResult &&result) {
-            m_calls.erase(id);
-            m_latency.record(SteadyClock().now() - started);
-            BackendResult backendResult { id, BackendFailure::Lost };
-            auto *response = std::get_if<HttpResponse>(&result);
-            if (response != nullptr && isRefusal(*response)) {
-                backendResult.result = BackendFailure::Refused;
-            } else if (response != nullptr) {
-                backendResult.result
-                    = Answered { response->status, std::string(response->header("Content-Type")),
-                                 std::move(response->body) };
-            } else {
-                backendResult.result = toFailure(std::get<HttpFailure>(result).kind);
-            }
-            m_sink(std::move(backendResult));
-            if (response != nullptr)
-                m_client.warmUp(m_warmConnections); // replaces connections that were closed
-        });
-    m_calls.emplace(id, handle);
-}
-
-void BackendEndpoint::onCancel(const BackendCancel &cancel)
-{
-    const auto found = m_calls.find(cancel.id);
-    if (found != m_calls.end())
-        m_client.cancel(found->second);
-}
-
-void BackendEndpoint::onReachable(bool isReachable)
+HttpRequest OwnBackendDialect::encode(BackendCall &&call) const
 {
-    m_sink(BackendReachable { isReachable });
-    if (isReachable)
-        m_client.warmUp(m_warmConnections);
+    return toHttp(std::move(call.request));
 }
 
-void BackendEndpoint::start()
+std::variant<Answered, BackendFailure> OwnBackendDialect::decode(HttpResponse &&response) const
 {
-    boost::asio::post(m_thread.io(), [this] { m_monitor.start(); });
-    m_thread.start();
+    if (isRefusal(response))
+        return BackendFailure::Refused;
+    return Answered { response.status, std::string(response.header("Content-Type")),
+                      std::move(response.body) };
 }
 
 } // namespace camphorreach::impl
--- /dev/null
+++ b/src/endpoints/decisionlog.cpp
@@ -0,0 +1,70 @@
+// Log lines of decisions.
+#include <camphorreach/impl/decisionlog.h>
+
+#include <sstream>
+#include <string>
+
+namespace camphorreach::impl {
+namespace {
+
+// Writing a line costs about as much as forwarding a request, so most requests of an overload are
+// only counted.
+constexpr double linesPerSecond = 20;
+constexpr double lineBurst = 100;
+
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(std::string_view part, MetricsRegistry &metrics)
+    : m_log(part), m_dropped(metrics.counter("log.dropped." + std::string(part))),
+      m_lines(linesPerSecond, lineBurst)
+{ }
+
+bool DecisionLog::mayWrite(TimePoint now)
+{
+    if (m_lines.take(1.0, now))
+        return true;
+    m_dropped.add();
+    return false;
+}
+
+void DecisionLog::write(const RouterDecision &decision, TimePoint now)
+{
+    if (!mayWrite(now))
+        return;
+    std::ostringstream line;
+    line << "event=request-ended id=" << decision.attempt.value()
+         << " service=" << decision.service.value() << " route=" << decision.route.value()
+         << " outcome=" << decision.outcome;
+    if (decision.status != 0)
+        line << " status=" << decision.status;
+    else
+        line << " reason=" << decision.reason;
+    line << " attempts=" << decision.attempts << " refusals=" << decision.refusals
+         << " target=" << decision.lastTarget.value() << " spilled=" << decision.wasSpilled
+         << " config=" << decision.configVersion.value()
+         << " taken_ms=" << milliseconds(decision.taken)
+         << " left_ms=" << milliseconds(decision.left);
+    m_log.info(line.str());
+}
+
+void DecisionLog::write(const GateDecision &decision, TimePoint now)
+{
+    if (!mayWrite(now))
+        return;
+    std::ostringstream line;
+    line << "event=gate-refused id=" << decision.attempt.value()
+         << " service=" << decision.service.value() << " route=" << decision.route.value()
+         << " reason=" << toText(decision.reason) << " running=" << decision.load.running
+         << " queued=" << decision.load.queued << " slots=" << decision.load.slots
+         << " wait_ms=" << milliseconds(decision.expectedWait)
+         << " usual_ms=" << milliseconds(decision.usual)
+         << " left_ms=" << milliseconds(decision.left);
+    m_log.info(line.str());
+}
+
+} // namespace camphorreach::impl
--- a/src/endpoints/guestendpoint.cpp
+++ b/src/endpoints/guestendpoint.cpp
@@ -1,7 +1,6 @@
 // HTTP mapping of guests' requests and their outcomes.
 #include <camphorreach/impl/guestendpoint.h>
 
-#include <camphorreach/clock.h>
 #include <camphorreach/result.h>
 
 #include <charconv>
@@ -11,7 +10,6 @@
 namespace camphorreach::impl {
 namespace {
 
-constexpr std::size_t ringCapacity = 8192;
 constexpr const char *outcomeHeader = "X-Outcome";
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
@@ -93,64 +91,20 @@
 
 } // namespace
 
-GuestEndpoint::GuestEndpoint(const NetAddress &address, std::size_t maxConnections, Sink sink,
-                             MetricsRegistry &metrics)
-    : m_sink(std::move(sink)), m_requests(metrics.counter("guest.requests")),
-      m_refused(metrics.counter("guest.refused_ring_full")), m_gone(metrics.counter("guest.gone")),
-      m_latency(metrics.histogram("guest.latency")),
-      m_server(
-          m_thread.io(), address, maxConnections,
-          { [this](ExchangeId id, HttpRequest &&request) { onRequest(id, std::move(request)); },
-            [this](ExchangeId id) { onGone(id); } }),
-      m_inlet(m_thread.io(), ringCapacity,
-              [this](GuestAnswer &&answer) { onAnswer(std::move(answer)); })
-{ }
-
-void GuestEndpoint::onRequest(ExchangeId exchange, HttpRequest &&http)
-{
-    m_requests.add();
-    auto request = toGuestRequest(RequestId(exchange), std::move(http));
-    if (!request) {
-        HttpResponse response = toResponse(NotRun { NotRunReason::Malformed });
-        response.status = 400;
-        m_server.respond(exchange, std::move(response));
-        return;
-    }
-    if (!m_sink(std::move(*request))) {
-        m_refused.add();
-        m_server.respond(exchange, toResponse(NotRun { NotRunReason::Overloaded }));
-        return;
-    }
-    m_started.emplace(exchange, SteadyClock().now());
-}
-
-void GuestEndpoint::onGone(ExchangeId exchange)
-{
-    m_gone.add();
-    if (m_started.erase(exchange) > 0)
-        (void)m_sink(GuestGone { RequestId(exchange) }); // on false the deadline ends the work
-}
-
-void GuestEndpoint::onAnswer(GuestAnswer &&answer)
-{
-    const auto started = m_started.find(answer.id.value());
-    if (started != m_started.end()) {
-        m_latency.record(SteadyClock().now() - started->second);
-        m_started.erase(started);
-    }
-    m_server.respond(answer.id.value(), toResponse(std::move(answer.outcome)));
-}
-
-void GuestEndpoint::drain(Duration grace, std::function<void()> onClosed)
+std::variant<GuestRequest, HttpResponse> ServicePathDialect::decode(RequestId id,
+                                                                    HttpRequest &&http) const
 {
-    boost::asio::post(m_thread.io(), [this, grace, onClosed = std::move(onClosed)]() mutable {
-        m_server.drain(grace, std::move(onClosed));
-    });
+    auto request = toGuestRequest(id, std::move(http));
+    if (request)
+        return *std::move(request);
+    HttpResponse response = toResponse(NotRun { NotRunReason::Malformed });
+    response.status = 400;
+    return response;
 }
 
-std::size_t GuestEndpoint::connectionCount()
+HttpResponse ServicePathDialect::encode(Outcome &&outcome, const GuestAttemptId &) const
 {
-    return m_thread.call([this] { return m_server.connectionCount(); });
+    return toResponse(std::move(outcome));
 }
 
 } // namespace camphorreach::impl
--- a/src/endpoints/http.cpp
+++ b/src/endpoints/http.cpp
@@ -1,10 +1,10 @@
-// Header look-up shared by HTTP requests and responses.
+// Header look-up shared by requests, answers and their HTTP forms.
 #include <camphorreach/impl/http.h>
 
 #include <algorithm>
 #include <cctype>
 
-namespace camphorreach::impl {
+namespace camphorreach {
 namespace {
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
@@ -14,25 +14,28 @@
         [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
-std::string_view findHeader(const std::vector<HttpHeader> &headers, std::string_view name) noexcept
+} // namespace
+
+std::string_view valueOf(const HeaderFields &fields, std::string_view name) noexcept
 {
-    for (const HttpHeader &header : headers) {
-        if (equalsIgnoringCase(header.name, name))
-            return header.value;
+    for (const HeaderField &field : fields) {
+        if (equalsIgnoringCase(field.name, name))
+            return field.value;
     }
     return {};
 }
 
-} // namespace
+namespace impl {
 
 std::string_view HttpRequest::header(std::string_view name) const noexcept
 {
-    return findHeader(headers, name);
+    return valueOf(headers, name);
 }
 
 std::string_view HttpResponse::header(std::string_view name) const noexcept
 {
-    return findHeader(headers, name);
+    return valueOf(headers, name);
 }
 
-} // namespace camphorreach::impl
+} // namespace impl
+} // namespace camphorreach
--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -1,12 +1,16 @@
 // HTTP client connections over Boost.Beast.
 #include <camphorreach/impl/httpclient.h>
 
+#include <camphorreach/clock.h>
+#include <camphorreach/impl/sockets.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -31,13 +35,34 @@
     return isHttp && !isEnd ? HttpFailure::Kind::BadAnswer : whenLost;
 }
 
+// More unasked-for responses than this on one connection, and its answers cannot be told apart.
+constexpr unsigned maxForeignAnswers = 4;
+// How much sooner than the server says a connection is given up.
+constexpr Duration idleMargin = std::chrono::milliseconds(700);
+
+// "timeout=5, max=100" gives five seconds.
+std::optional<Duration> statedIdleLimit(const HttpResponse &response)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text = response.header("Keep-Alive");
+    const std::size_t at = text.find(key);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const char *begin = text.data() + at + key.size();
+    if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 } // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(asio::io_context &io, NetAddress server, std::size_t maxConnections)
-        : m_io(io), m_server(std::move(server)), m_maxConnections(maxConnections)
+    Impl(asio::io_context &io, NetAddress server, std::size_t maxConnections, Options options)
+        : m_io(io), m_server(std::move(server)), m_maxConnections(maxConnections),
+          m_options(std::move(options))
     { }
 
     CallHandle send(HttpRequest request, Duration timeout, Completion done);
@@ -68,6 +93,7 @@
     asio::io_context &m_io;
     const NetAddress m_server;
     const std::size_t m_maxConnections;
+    const Options m_options;
     std::map<CallHandle, Call> m_calls;
     std::deque<CallHandle> m_queue; // calls without a connection, in order
     std::vector<std::shared_ptr<Connection>> m_idle; // connected, without a call
@@ -106,8 +132,7 @@
         m_stream.async_connect(
             endpoint, [self = shared_from_this(), done = std::move(done)](ErrorCodeType error) {
                 if (!error) {
-                    ErrorCodeType ignored;
-                    self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+                    setLiveness(self->m_stream.socket());
                     self->m_isConnected = true;
                 }
                 done(error);
@@ -147,6 +172,8 @@
     // An idle connection must be silent; data or an end of stream means that it is unusable.
     [[nodiscard]] bool isUsable()
     {
+        if (SteadyClock().now() >= m_idleUntil)
+            return false;
         ErrorCodeType error;
         m_stream.socket().non_blocking(true, error);
         char byte = 0;
@@ -166,9 +193,10 @@
         m_request.version(11);
         m_request.method_string(call.request.method);
         m_request.target(call.request.target);
-        m_request.set(http::field::host, toText(client->m_server));
+        if (call.request.header("Host").empty())
+            m_request.set(http::field::host, toText(client->m_server));
         for (const HttpHeader &header : call.request.headers)
-            m_request.set(header.name, header.value);
+            m_request.insert(header.name, header.value);
         m_request.body() = std::move(call.request.body);
         m_request.prepare_payload();
         http::async_write(
@@ -186,7 +214,10 @@
     void read()
     {
         m_parser.emplace();
-        m_parser->body_limit(maxBodyBytes);
+        const auto client = m_client.lock();
+        if (!client)
+            return;
+        m_parser->body_limit(client->m_options.bodyBytes);
         m_parser->skip(m_request.method() == http::verb::head);
         http::async_read_header(
             m_stream, m_buffer, *m_parser,
@@ -224,7 +255,8 @@
         if (!client)
             return;
         // A body that ends with the connection looks the same when the server crashes inside it.
-        if (m_parser->need_eof()) {
+        const bool isUnframed = m_parser->need_eof();
+        if (isUnframed && !client->m_options.acceptsUnframed) {
             fail(HttpFailure::Kind::BadAnswer, http::error::need_more);
             return;
         }
@@ -236,14 +268,32 @@
             response.headers.push_back(
                 { std::string(field.name_string()), std::string(field.value()) });
         response.body = std::move(message.body());
+        if (isForeign(*client, response)) {
+            if (isUnframed || !message.keep_alive() || ++m_foreignAnswers > maxForeignAnswers)
+                fail(HttpFailure::Kind::BadAnswer, http::error::unexpected_body);
+            else
+                read();
+            return;
+        }
         const CallHandle handle = std::exchange(m_handle, 0);
-        if (message.keep_alive() && m_buffer.size() == 0)
+        if (message.keep_alive() && !isUnframed && m_buffer.size() == 0) {
+            const auto stated = statedIdleLimit(response);
+            m_idleUntil = SteadyClock().now()
+                + std::min(client->m_options.idleLimit,
+                           stated ? *stated - idleMargin : client->m_options.idleLimit);
             client->m_idle.push_back(shared_from_this());
-        else
+        } else {
             close();
+        }
         client->finish(handle, std::move(response));
     }
 
+    [[nodiscard]] bool isForeign(const Impl &client, const HttpResponse &response) const
+    {
+        const auto &isOwn = client.m_options.isOwnAnswer;
+        return isOwn && !isOwn(client.m_calls.at(m_handle).request, response);
+    }
+
     void fail(HttpFailure::Kind kind, ErrorCodeType error)
     {
         const CallHandle handle = std::exchange(m_handle, 0);
@@ -258,6 +308,8 @@
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     CallHandle m_handle = 0; // zero while the connection carries no call
+    unsigned m_foreignAnswers = 0; // at most maxForeignAnswers
+    TimePoint m_idleUntil = TimePoint::max(); // of an idle connection
     bool m_isConnected = false;
 };
 
@@ -365,8 +417,9 @@
         cancel(handle);
 }
 
-HttpClient::HttpClient(asio::io_context &io, NetAddress server, std::size_t maxConnections)
-    : m_impl(std::make_shared<Impl>(io, std::move(server), maxConnections))
+HttpClient::HttpClient(asio::io_context &io, NetAddress server, std::size_t maxConnections,
+                       Options options)
+    : m_impl(std::make_shared<Impl>(io, std::move(server), maxConnections, std::move(options)))
 { }
 
 HttpClient::~HttpClient()
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -1,6 +1,7 @@
 // HTTP server sessions over Boost.Beast.
 #include <camphorreach/impl/httpserver.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -21,9 +22,10 @@
 
 namespace {
 
-// A connection that sends nothing for this long is closed.
-constexpr auto idleTimeout = std::chrono::seconds(75);
-constexpr std::size_t maxHeaderBytes = 16 * 1024;
+constexpr std::size_t firstReadBytes = 4096;
+// A body may take this long on top of the header.
+constexpr auto bodyTimeout = std::chrono::seconds(30);
+constexpr auto writeTimeout = std::chrono::seconds(30);
 // How long a closed connection is still read from. Closing it with unread data would reset it, and
 // the reset could overtake the response.
 constexpr auto lingerTimeout = std::chrono::seconds(1);
@@ -60,6 +62,7 @@
             });
     }
 
+    void setLimits(const HttpLimits &limits) { m_limits = limits; }
     void respond(ExchangeId exchange, HttpResponse response);
     void abort(ExchangeId exchange);
     void drain(Duration grace, std::function<void()> onClosed);
@@ -79,6 +82,7 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_graceTimer;
     const std::size_t m_maxConnections;
+    HttpLimits m_limits;
     Handlers m_handlers;
     std::map<ExchangeId, std::shared_ptr<Session>> m_waiting; // requests without a response yet
     std::map<Session *, std::weak_ptr<Session>> m_sessions;
@@ -108,12 +112,43 @@
         m_server->reportIfClosed();
     }
 
+    // Waits for the first bytes within the idle limit, then reads the request within the limit for
+    // headers.
     void read()
     {
         m_parser.emplace();
-        m_parser->body_limit(maxBodyBytes);
-        m_parser->header_limit(maxHeaderBytes);
-        m_stream.expires_after(idleTimeout);
+        m_parser->body_limit(std::min<std::uint64_t>(m_server->m_limits.bodyBytes, maxBodyBytes));
+        m_parser->header_limit(m_server->m_limits.headerBytes);
+        if (m_buffer.size() > 0)
+            return readRequest();
+        m_stream.expires_after(m_server->m_limits.idleTimeout);
+        m_stream.async_read_some(
+            m_buffer.prepare(firstReadBytes),
+            [self = shared_from_this()](ErrorCodeType error, std::size_t size) {
+                if (error)
+                    return;
+                self->m_buffer.commit(size);
+                self->readRequest();
+            });
+    }
+
+    void readRequest()
+    {
+        m_stream.expires_after(m_server->m_limits.headerTimeout);
+        http::async_read_header(m_stream, m_buffer, *m_parser,
+                                [self = shared_from_this()](ErrorCodeType error, std::size_t) {
+                                    if (error)
+                                        self->onRead(error);
+                                    else
+                                        self->readBody();
+                                });
+    }
+
+    void readBody()
+    {
+        if (m_parser->is_done())
+            return onRead({});
+        m_stream.expires_after(bodyTimeout);
         http::async_read(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](ErrorCodeType error, std::size_t) { self->onRead(error); });
@@ -128,7 +163,7 @@
         m_response->keep_alive(m_keepAlive && !m_server->m_isDraining);
         m_response->body() = std::move(response.body);
         m_response->prepare_payload();
-        m_stream.expires_after(idleTimeout);
+        m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response,
                           [self = shared_from_this()](ErrorCodeType error, std::size_t) {
                               self->onWritten(error);
@@ -152,7 +187,14 @@
     {
         if (error == http::error::body_limit || error == http::error::header_limit) {
             m_keepAlive = false;
-            respond({ 413, {}, "the request is larger than the limit\n" });
+            const bool isBody = error == http::error::body_limit;
+            respond({ static_cast<std::uint16_t>(isBody ? 413 : 431),
+                      {},
+                      "the request is larger than the limit\n" });
+            return;
+        }
+        if (error == beast::error::timeout) {
+            // The stream has closed its socket, so nothing can be said any more.
             return;
         }
         if (error) {
@@ -337,6 +379,11 @@
     m_impl->respond(exchange, std::move(response));
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
 void HttpServer::abort(ExchangeId exchange)
 {
     m_impl->abort(exchange);
--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -1,6 +1,7 @@
 // TCP links and UDP datagrams between nodes.
 #include <camphorreach/impl/peerendpoint.h>
 
+#include <camphorreach/impl/sockets.h>
 #include <camphorreach/impl/wire.h>
 #include <camphorreach/result.h>
 
@@ -335,8 +336,7 @@
             return;
         m_isConnected = true;
         m_timer.cancel();
-        ErrorCodeType ignored;
-        m_channel.socket().set_option(tcp::no_delay(true), ignored);
+        setLiveness(m_channel.socket());
         m_channel.read(
             shared_from_this(), [this](std::string_view payload) { return onFrame(payload); },
             [this] { end(); });
@@ -488,8 +488,7 @@
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             return;
         if (!error && self->m_incoming.size() < maxIncomingLinks) {
-            ErrorCodeType ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
+            setLiveness(socket);
             const LinkId id(self->m_nextLink++);
             const auto link = std::make_shared<IncomingLink>(self, id, std::move(socket));
             self->m_incoming.emplace(id, link);
--- a/src/endpoints/platformendpoint.cpp
+++ b/src/endpoints/platformendpoint.cpp
@@ -12,9 +12,6 @@
 namespace camphorreach::impl {
 namespace {
 
-constexpr std::size_t ringCapacity = 1024;
-// One watch, one lease renewal and a few reads and writes at a time.
-constexpr std::size_t maxConnections = 8;
 constexpr Duration callTimeout = std::chrono::seconds(2);
 
 std::string objectPath(const ObjectKey &key)
@@ -110,22 +107,4 @@
     return watch != nullptr ? watch->wait + callTimeout : callTimeout;
 }
 
-PlatformEndpoint::PlatformEndpoint(const NetAddress &platform, Sink sink, MetricsRegistry &metrics)
-    : m_sink(std::move(sink)), m_calls(metrics.counter("platform.calls")),
-      m_client(m_thread.io(), platform, maxConnections),
-      m_inlet(m_thread.io(), ringCapacity,
-              [this](PlatformCommand &&command) { onCommand(std::move(command)); })
-{ }
-
-void PlatformEndpoint::onCommand(PlatformCommand &&command)
-{
-    m_calls.add();
-    HttpRequest request = toHttp(command.call.operation);
-    const Duration timeout = timeoutOf(command.call.operation);
-    m_client.send(std::move(request), timeout, [this, command](HttpResult &&result) {
-        m_sink(command.user,
-               PlatformReply { command.call.id, toPlatformResult(command.call.operation, result) });
-    });
-}
-
 } // namespace camphorreach::impl
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -16,16 +16,22 @@
     archive(address.host, address.port);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, HeaderField &field)
+{
+    archive(field.name, field.value);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, Answered &answered)
 {
-    archive(answered.status, answered.contentType, answered.body);
+    archive(answered.status, answered.contentType, answered.body, answered.headers);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, NotRun &notRun)
 {
-    archive(notRun.reason);
+    archive(notRun.reason, notRun.retryAfter);
 }
 
 template <typename Archive>
@@ -37,7 +43,8 @@
 template <typename Archive>
 void serialize(Archive &archive, RequestContent &content)
 {
-    archive(content.method, content.target, content.contentType, content.body);
+    archive(content.method, content.target, content.contentType, content.body, content.host,
+            content.headers);
 }
 
 template <typename Archive>
@@ -45,7 +52,8 @@
 {
     archive(request.id, request.service, request.route, request.kind, request.kindWeight,
             request.isIdempotent, request.version, request.budget, request.key, request.isFreshKey,
-            request.depth, request.attempt, request.configVersion, request.content);
+            request.depth, request.attempt, request.configVersion, request.content,
+            request.attemptId, request.caller, request.isSpilled);
 }
 
 template <typename Archive>
@@ -89,6 +97,81 @@
             endpoint.version, endpoint.incarnation, endpoint.slots, endpoint.state);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, RoutePolicy &policy)
+{
+    archive(policy.name, policy.prefix, policy.kind, policy.kindWeight, policy.isIdempotent,
+            policy.deadline, policy.maxAttempts, policy.targetLatency, policy.maySpill);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, TrafficPart &part)
+{
+    archive(part.service, part.weight);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HostRoute &route)
+{
+    archive(route.host, route.policy, route.parts);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HttpLimits &limits)
+{
+    archive(limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, MeshService &service)
+{
+    archive(service.name, service.maxConnections);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, MeshConfig &config)
+{
+    archive(config.version, config.routes, config.services, config.limits);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RolloutOrder &order)
+{
+    archive(order.service, order.target, order.ramp, order.state, order.version);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CatalogAdvert &advert)
+{
+    archive(advert.config, advert.orders, advert.isAnswer);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CatalogUpdate &update)
+{
+    archive(update.config, update.orders);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RolloutCounts &counts)
+{
+    archive(counts.requests, counts.failures, counts.slow);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RolloutReport &report)
+{
+    archive(report.node, report.service, report.target, report.elapsed, report.established,
+            report.candidate);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RolloutDirective &directive)
+{
+    archive(directive.service, directive.target, directive.share, directive.isBad,
+            directive.elapsed);
+}
+
 namespace impl {
 
 template <typename Archive>
--- /dev/null
+++ b/src/filters/configuration/routetable.cpp
@@ -0,0 +1,65 @@
+// Selection of routes by host and path.
+#include <camphorreach/routetable.h>
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+namespace camphorreach {
+namespace {
+
+// Host names compare without regard to case, and a port is no part of them.
+std::string canonicalHost(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+        host = host.substr(0, colon);
+    std::string result(host);
+    std::ranges::transform(result, result.begin(), [](unsigned char c) { return std::tolower(c); });
+    return result;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::vector<HostRoute> routes)
+{
+    for (HostRoute &route : routes) {
+        ByPrefix &prefixes = m_hosts[canonicalHost(route.host)];
+        m_size += prefixes.insert_or_assign(route.policy.prefix, std::move(route)).second ? 1 : 0;
+    }
+}
+
+// Prefixes end with a slash, so only the parts of the path up to each slash can match.
+const HostRoute *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = m_hosts.find(canonicalHost(host));
+    if (prefixes == m_hosts.end())
+        return nullptr;
+    path = path.substr(0, path.find('?'));
+    while (!path.empty()) {
+        const std::size_t slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        const auto found = prefixes->second.find(path.substr(0, slash + 1));
+        if (found != prefixes->second.end())
+            return &found->second;
+        path = path.substr(0, slash);
+    }
+    return nullptr;
+}
+
+const TrafficPart &choosePart(const HostRoute &route, double point) noexcept
+{
+    const auto total = std::accumulate(
+        route.parts.begin(), route.parts.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const TrafficPart &part) { return sum + part.weight; });
+    double left = point * static_cast<double>(total);
+    for (const TrafficPart &part : route.parts) {
+        if (left < part.weight)
+            return part;
+        left -= part.weight;
+    }
+    return route.parts.back();
+}
+
+} // namespace camphorreach
--- a/src/filters/membership/membership.cpp
+++ b/src/filters/membership/membership.cpp
@@ -55,7 +55,8 @@
 Membership::Membership(Endpoint self, std::vector<NetAddress> seeds, RandomSource &random)
     : m_self(std::move(self)), m_seeds(std::move(seeds)), m_random(random),
       m_syncBudget(syncMembersPerSecond, syncBurstMembers),
-      m_spreadBudget(spreadBytesPerSecond, spreadBurstBytes)
+      m_spreadBudget(spreadBytesPerSecond, spreadBurstBytes),
+      m_isAccepting(m_self.state == EndpointState::Ready)
 { }
 
 void Membership::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -82,6 +83,7 @@
                 m_isBackendReachable = reachable.isReachable;
                 updateState(now, outbox);
             },
+            [&](SelfChanged &changed) { onSelf(std::move(changed), now, outbox); },
             [&](BackendLeaving &leaving) {
                 m_isBackendLeaving = leaving.isLeaving;
                 updateState(now, outbox);
@@ -259,11 +261,32 @@
 // A node whose backend server is down or leaving takes no new work, as one that drains.
 void Membership::updateState(TimePoint now, Outbox<Output> &outbox)
 {
-    const bool isReady = m_isBackendReachable && !m_isBackendLeaving && !m_isDraining;
+    const bool isReady
+        = m_isBackendReachable && !m_isBackendLeaving && !m_isDraining && m_isAccepting;
     const EndpointState state = isReady ? EndpointState::Ready : EndpointState::Draining;
     if (m_self.state == state)
         return;
     m_self.state = state;
+    announceSelf(now, outbox);
+}
+
+void Membership::onSelf(SelfChanged &&changed, TimePoint now, Outbox<Output> &outbox)
+{
+    m_isAccepting = changed.isAccepting;
+    const bool isOther = m_self.service != changed.service || m_self.version != changed.version
+        || m_self.slots != changed.slots;
+    if (!isOther)
+        return updateState(now, outbox);
+    m_self.service = std::move(changed.service);
+    m_self.version = std::move(changed.version);
+    m_self.slots = changed.slots;
+    updateState(now, outbox);
+    announceSelf(now, outbox);
+}
+
+// A new incarnation replaces what others know of this node.
+void Membership::announceSelf(TimePoint now, Outbox<Output> &outbox)
+{
     m_self.incarnation = next(m_self.incarnation);
     m_selfSends = 2 * static_cast<unsigned>(std::bit_width(memberCount()));
     m_publishAt = now;
--- a/src/filters/requests/attemptend.cpp
+++ b/src/filters/requests/attemptend.cpp
@@ -27,6 +27,7 @@
     }
     switch (std::get_if<NotRun>(&outcome)->reason) {
     case NotRunReason::Overloaded:
+    case NotRunReason::BackendRefused:
         return SampleResult::Shed;
     case NotRunReason::DeadlinePassed:
         return SampleResult::Timeout;
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -27,7 +27,7 @@
     case BackendFailure::NotSent:
         return NotRun { NotRunReason::Unreachable };
     case BackendFailure::Refused:
-        return NotRun { NotRunReason::Overloaded };
+        return NotRun { NotRunReason::BackendRefused };
     case BackendFailure::Lost:
         return OutcomeUnknown { UnknownReason::BackendServerLost };
     case BackendFailure::PartialAnswer:
@@ -53,7 +53,8 @@
 } // namespace
 
 Gate::Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random)
-    : m_limits(limits), m_service(service), m_spread(std::move(service), std::move(self), random),
+    : m_limits(limits), m_slots(limits.slots), m_service(service),
+      m_isAccepting(!limits.needsAnnouncement), m_spread(std::move(service), std::move(self), random),
       m_queue(limits.queue), m_isolated(isolatedLimits(limits.queue)), m_results(limits.results),
       m_containment(limits.crashes)
 { }
@@ -72,6 +73,7 @@
                 onNotice(received.message, now, outbox);
             },
             [&](EndpointsChanged &changed) { m_spread.setPeers(changed); },
+            [&](BackendAnnounced &announced) { onAnnounced(std::move(announced), now, outbox); },
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
             [&](DrainStarted &) { m_isDraining = true; },
         },
@@ -105,13 +107,60 @@
             return reply(work, std::move(*outcome), false, outbox);
         }
     }
-    if (m_isDraining || m_isBackendLeaving)
-        return refuse(work, NotRunReason::Draining, now, outbox);
+    if (const auto notRun = refusal(work, now))
+        return refuse(work, *notRun, now, outbox);
+    enqueue(std::move(work), now, outbox);
+}
+
+// Why the request cannot be served here, or nothing.
+std::optional<NotRun> Gate::refusal(const GateWork &work, TimePoint now)
+{
+    const ForwardRequest &request = work.request;
+    const bool isOther = !m_server.value().empty()
+        && (request.service != m_service || request.version != m_version);
+    if (m_isDraining || m_isBackendLeaving || !m_isAccepting || isOther)
+        return NotRun { NotRunReason::Draining };
     if (!m_isReachable)
-        return refuse(work, NotRunReason::Unreachable, now, outbox);
+        return NotRun { NotRunReason::Unreachable };
     if (!canFinish(work, now))
-        return refuse(work, NotRunReason::DeadlinePassed, now, outbox);
-    enqueue(std::move(work), now, outbox);
+        return NotRun { NotRunReason::DeadlinePassed };
+    const Duration wait = expectedWait(work);
+    if (work.deadline - now < wait + m_serviceTimes.usual(request.route))
+        return NotRun { NotRunReason::Overloaded, wait };
+    return std::nullopt;
+}
+
+// How long the request would wait for a slot behind what runs before it.
+Duration Gate::expectedWait(const GateWork &work) const
+{
+    if (m_running.size() < m_slots)
+        return Duration::zero();
+    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(work) + 1);
+    return m_serviceTimes.overall() * ahead / static_cast<Duration::rep>(m_slots);
+}
+
+// Queued work that the backend server no longer takes may still run at another gate.
+void Gate::onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox)
+{
+    m_slots = std::max(1U, announced.slots);
+    m_service = std::move(announced.service);
+    m_version = std::move(announced.version);
+    m_isAccepting = announced.isAccepting;
+    if (m_server != announced.server) {
+        m_server = std::move(announced.server);
+        m_isBackendLeaving = false;
+        m_serviceTimes = {};
+    }
+    m_spread.setService(m_service);
+    std::vector<GateWork> works = m_queue.takeAll();
+    for (GateWork &work : m_isolated.takeAll())
+        works.push_back(std::move(work));
+    for (GateWork &work : works) {
+        if (const auto notRun = refusal(work, now))
+            refuse(work, *notRun, now, outbox);
+        else
+            enqueue(std::move(work), now, outbox);
+    }
 }
 
 void Gate::enqueue(GateWork &&work, TimePoint now, Outbox<Output> &outbox)
@@ -278,9 +327,9 @@
 
 void Gate::fillSlots(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_isReachable || m_alone || holdsForIsolation(now, outbox))
+    if (!m_isReachable || !m_isAccepting || m_alone || holdsForIsolation(now, outbox))
         return;
-    while (!m_queue.isEmpty() && m_running.size() < m_limits.slots) {
+    while (!m_queue.isEmpty() && m_running.size() < m_slots) {
         GateWork work = m_queue.pop();
         // Its content may have become suspect while it waited.
         if (m_containment.standingOf(work.fingerprint, now) != CrashContainment::Standing::Normal)
@@ -331,16 +380,24 @@
     const CallId id(m_nextCall++);
     work.request.budget = work.deadline - now;
     ++m_counts.handedOver;
-    outbox.emit(BackendCall { id, work.request });
+    outbox.emit(BackendCall { id, work.request, m_server });
     work.request.content = {};
     m_running.emplace(id, Call { std::move(work), now });
     return true;
 }
 
 void Gate::refuse(const GateWork &work, NotRunReason reason, TimePoint now, Outbox<Output> &outbox)
+{
+    refuse(work, NotRun { reason }, now, outbox);
+}
+
+void Gate::refuse(const GateWork &work, NotRun notRun, TimePoint now, Outbox<Output> &outbox)
 {
     ++m_counts.refused;
-    settle(work, true, NotRun { reason }, reason == NotRunReason::Quarantined, now, outbox);
+    outbox.emit(GateDecision { work.request.attemptId, work.request.service, work.request.route,
+                               notRun.reason, load(), notRun.retryAfter,
+                               m_serviceTimes.usual(work.request.route), work.deadline - now });
+    settle(work, true, notRun, notRun.reason == NotRunReason::Quarantined, now, outbox);
 }
 
 void Gate::refuseAll(const std::vector<GateWork> &works, NotRunReason reason, TimePoint now,
@@ -401,7 +458,7 @@
 GateLoad Gate::load() const noexcept
 {
     return { static_cast<std::uint32_t>(m_running.size()),
-             static_cast<std::uint32_t>(m_queue.size() + m_isolated.size()), m_limits.slots };
+             static_cast<std::uint32_t>(m_queue.size() + m_isolated.size()), m_slots };
 }
 
 void Gate::reportIfDrained(Outbox<Output> &outbox)
--- a/src/filters/requests/gatequeue.cpp
+++ b/src/filters/requests/gatequeue.cpp
@@ -1,6 +1,7 @@
 // Order and shedding of waiting requests.
 #include <camphorreach/gatequeue.h>
 
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -11,7 +12,7 @@
     const ForwardRequest &request = work.request;
     const RequestContent &content = request.content;
     return sizeof(GateWork) + content.method.size() + content.target.size()
-        + content.contentType.size() + content.body.size() + request.key.value().size();
+        + content.contentType.size() + content.body.size() + content.host.size() + request.key.value().size();
 }
 
 bool GateQueue::Place::operator<(const Place &other) const noexcept
@@ -90,6 +91,13 @@
     return takeIf([&](const GateWork &work) { return work.fingerprint == fingerprint; });
 }
 
+std::size_t GateQueue::countBefore(const GateWork &work) const
+{
+    const Place place { work.request.kindWeight, work.deadline, m_nextSequence };
+    return static_cast<std::size_t>(
+        std::distance(m_entries.begin(), m_entries.lower_bound(place)));
+}
+
 std::optional<TimePoint> GateQueue::earliestDeadline() const
 {
     if (m_deadlines.empty())
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-bool PendingRequest::resolve(const std::shared_ptr<const Snapshot> &held)
+bool PendingRequest::resolve(const std::shared_ptr<const Snapshot> &held, RandomSource &random)
 {
+    serviceName = request.service;
     const auto deadlineWithin = [this](Duration limit) {
         const bool hasBudget = request.budget > Duration::zero();
         return arrivedAt + (hasBudget ? std::min(request.budget, limit) : limit);
@@ -22,11 +23,23 @@
         deadline = deadlineWithin(waitForConfiguration);
         return true;
     }
-    const ServicePolicy *foundService = held->findService(request.service);
-    const RoutePolicy *foundRoute
-        = foundService != nullptr ? foundService->findRoute(request.content.target) : nullptr;
+    const RoutePolicy *foundRoute = nullptr;
+    if (isRoutedByHost()) {
+        const HostRoute *hostRoute
+            = held->hostRoutes.find(request.content.host, request.content.target);
+        if (hostRoute == nullptr)
+            return false;
+        serviceName = choosePart(*hostRoute, uniformFraction(random)).service;
+        foundRoute = &hostRoute->policy;
+    }
+    const ServicePolicy *foundService = held->findService(serviceName);
+    if (foundService == nullptr)
+        return false;
+    if (!isRoutedByHost())
+        foundRoute = foundService->findRoute(request.content.target);
     if (foundRoute == nullptr)
         return false;
+    placement.maySpill = foundRoute->maySpill;
     snapshot = held;
     service = foundService;
     route = foundRoute;
@@ -59,7 +72,7 @@
     const Duration left = deadline - now;
     ForwardRequest forward;
     forward.id = current->forwardId;
-    forward.service = request.service;
+    forward.service = serviceName;
     forward.route = route->name;
     forward.kind = route->kind;
     forward.kindWeight = route->kindWeight;
@@ -74,6 +87,9 @@
     forward.attempt = Attempt(static_cast<std::uint8_t>(std::min(attempt, 255U)));
     forward.configVersion = snapshot->version;
     forward.content = request.content;
+    forward.attemptId = request.attemptId;
+    forward.caller = request.caller;
+    forward.isSpilled = current->isSpilled;
     return forward;
 }
 
--- a/src/filters/requests/placement.cpp
+++ b/src/filters/requests/placement.cpp
@@ -16,9 +16,10 @@
 } // namespace
 
 template <BalancingPolicy Policy>
-Placement<Policy>::Placement(FailureDomain domain, RandomSource &random, Policy policy)
+Placement<Policy>::Placement(FailureDomain domain, RandomSource &random, Policy policy,
+                             bool hasLimits)
     : m_domain(std::move(domain)), m_random(random), m_policy(std::move(policy)),
-      m_subsetSeed(random())
+      m_hasLimits(hasLimits), m_subsetSeed(random())
 { }
 
 template <BalancingPolicy Policy>
@@ -110,6 +111,13 @@
     if (index == m_index.end())
         return PlacementFailure::NoEndpoint;
     const auto &versions = index->second.versions;
+    if (service.weights.empty()) {
+        const auto open = openVersion(index->second, move);
+        if (!open)
+            return PlacementFailure::NoEndpoint;
+        state.version = open;
+        return pick(versions.at(*open), state, now);
+    }
     if (!state.version || !shares.isAllowed(*state.version))
         state.version = shares.draw(m_random);
     if (!state.version)
@@ -126,6 +134,34 @@
     return pick(version->second, state, now);
 }
 
+// The established version is the one of most endpoints. It stands in for a candidate without any, and
+// a candidate that is not banned stands in for it.
+template <BalancingPolicy Policy>
+std::optional<BackendVersion> Placement<Policy>::openVersion(const ServiceIndex &index,
+                                                             const ServiceShares *move)
+{
+    std::optional<BackendVersion> established;
+    std::optional<BackendVersion> candidate;
+    std::size_t most = 0;
+    for (const auto &[version, tiers] : index.versions) {
+        std::size_t count = 0;
+        for (const std::vector<Place> &places : tiers)
+            count += places.size();
+        if (count == 0 || (move != nullptr && move->banned.contains(version)))
+            continue;
+        if (move != nullptr && move->candidate == version) {
+            candidate = version;
+        } else if (count > most) {
+            most = count;
+            established = version;
+        }
+    }
+    if (!candidate || !established)
+        return candidate ? candidate : established;
+    return uniformBelow(m_random, Share::whole) < move->candidateShare.millionths() ? candidate
+                                                                                     : established;
+}
+
 template <BalancingPolicy Policy>
 bool Placement<Policy>::isDraining(const ServiceName &service, const InstanceId &instance) const
 {
@@ -186,6 +222,8 @@
         if (choice == Choice::Ejected && isAnyActive)
             break;
         for (std::size_t tier = 0; tier < tierCount; ++tier) {
+            if (tier > 0 && isAnyActive && !state.maySpill)
+                break;
             const double fraction = tier == 0 ? 1.0 : spillFraction;
             m_candidates.clear();
             for (const Place &place : tiers[tier]) {
@@ -195,7 +233,7 @@
                 if (std::ranges::find(state.avoided, place.endpoint->peer) != state.avoided.end())
                     continue;
                 isAnyUsable = true;
-                if (place.target->hasRoom(now, fraction))
+                if (place.target->hasRoom(now, m_hasLimits ? fraction : Target::unlimited))
                     m_candidates.push_back(place.target->candidate(*place.endpoint, now));
             }
             if (!m_candidates.empty())
@@ -313,6 +351,7 @@
 
 template class Placement<PowerOfTwoChoices>;
 template class Placement<LeastCost>;
+template class Placement<LeastOccupied>;
 template class Placement<RandomChoice>;
 
 } // namespace camphorreach
--- a/src/filters/requests/routelatency.cpp
+++ b/src/filters/requests/routelatency.cpp
@@ -39,6 +39,8 @@
 {
     std::erase_if(m_latencies, [&](const auto &entry) {
         const ServicePolicy *service = snapshot.findService(entry.first.first);
+        if (service != nullptr && !snapshot.hostRoutes.isEmpty())
+            return false; // their number is bounded by the size of a configuration
         return service == nullptr
             || std::ranges::find(service->routes, entry.first.second, &RoutePolicy::name)
             == service->routes.end();
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -15,14 +15,17 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(5);
 constexpr Duration longestBackoff = std::chrono::milliseconds(500);
 constexpr std::uint32_t maxBackoffDoublings = 7;
+// About the time in which a gate frees a slot.
+constexpr Duration leastReturn = std::chrono::milliseconds(60);
 
 } // namespace
 
 template <BalancingPolicy Policy>
-BasicRouter<Policy>::BasicRouter(FailureDomain domain, std::size_t maxInFlight,
+BasicRouter<Policy>::BasicRouter(FailureDomain domain, std::size_t maxInFlight, Options options,
                                  RandomSource &random)
-    : m_maxInFlight(maxInFlight), m_random(random), m_placement(std::move(domain), random),
-      m_queue(std::max<std::size_t>(1, maxInFlight / 2))
+    : m_options(options), m_maxInFlight(maxInFlight), m_random(random),
+      m_placement(std::move(domain), random, Policy {}, options.waitsForRoom),
+      m_retries(options.retries), m_queue(std::max<std::size_t>(1, maxInFlight / 2))
 { }
 
 template <BalancingPolicy Policy>
@@ -69,7 +72,9 @@
         return refuse(NotRunReason::Malformed);
     PendingRequest pending { std::move(request), now };
     pending.placement.isFreshKey = pending.request.isFreshKey;
-    if (!pending.resolve(m_snapshot))
+    if (!m_snapshot && !m_options.waitsForRoom)
+        return refuse(NotRunReason::NoConfiguration);
+    if (!pending.resolve(m_snapshot, m_random))
         return refuse(NotRunReason::NoRoute);
     if (m_requests.size() >= m_maxInFlight) {
         const auto worst = m_queue.worst();
@@ -79,7 +84,7 @@
             return refuse(NotRunReason::Overloaded);
         }
         ++m_counts.shed;
-        finish(worst->id, NotRun { NotRunReason::Overloaded }, outbox);
+        finish(worst->id, NotRun { NotRunReason::Overloaded }, now, outbox);
     }
     m_deadlines.emplace(pending.deadline, id);
     place(m_requests.insert_or_assign(id, std::move(pending)).first->second, now, outbox);
@@ -105,14 +110,14 @@
         PendingRequest &pending = found->second;
         m_queue.erase(id);
         m_deadlines.erase({ pending.deadline, id });
-        const bool hasRoute = pending.resolve(m_snapshot);
+        const bool hasRoute = pending.resolve(m_snapshot, m_random);
         m_deadlines.emplace(pending.deadline, id);
         if (!hasRoute)
-            finish(id, NotRun { NotRunReason::NoRoute }, outbox);
+            finish(id, NotRun { NotRunReason::NoRoute }, now, outbox);
         else if (pending.deadline <= now)
-            finish(id, NotRun { NotRunReason::DeadlinePassed }, outbox);
+            finish(id, NotRun { NotRunReason::DeadlinePassed }, now, outbox);
         else
-            wait(pending, {}, outbox);
+            wait(pending, {}, now, outbox);
     }
     dispatchAll(now, outbox);
 }
@@ -125,7 +130,7 @@
         return;
     ++m_counts.cancelled;
     PendingRequest &pending = found->second;
-    const ServiceName service = pending.request.service;
+    const ServiceName service = pending.serviceName;
     if (pending.current)
         cancelAttempt(pending, AttemptEnd::Withdrawn, now, outbox);
     m_queue.erase(gone.id);
@@ -174,10 +179,10 @@
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::place(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox)
 {
-    const ServiceName service = pending.request.service;
+    const ServiceName service = pending.serviceName;
     if (m_queue.ready(service, now, 1).empty() && tryPlace(pending, now, outbox))
         return;
-    wait(pending, {}, outbox);
+    wait(pending, {}, now, outbox);
     dispatch(service, now, outbox);
 }
 
@@ -196,9 +201,17 @@
     }
     switch (std::get<PlacementFailure>(result)) {
     case PlacementFailure::KeyHolderLost:
-        finish(pending.request.id, OutcomeUnknown { UnknownReason::KeyHolderLost }, outbox);
+        finish(pending.request.id, OutcomeUnknown { UnknownReason::KeyHolderLost }, now, outbox);
         return true;
     case PlacementFailure::NoEndpoint:
+        if (!m_options.waitsForRoom) {
+            const bool wasRefused = !pending.placement.avoided.empty();
+            finish(pending.request.id,
+                   NotRun { wasRefused ? pending.waitReason : NotRunReason::NoEndpoint,
+                            pending.longestWait },
+                   now, outbox);
+            return true;
+        }
         if (pending.placement.avoided.empty()) {
             pending.waitReason = NotRunReason::NoEndpoint;
             return false;
@@ -206,7 +219,7 @@
         // Every endpoint has failed this request once. After a pause, any may be tried again.
         pending.placement.avoided.clear();
         m_queue.erase(pending.request.id);
-        wait(pending, now + backoff(std::max(pending.attempts, 1U)), outbox);
+        wait(pending, now + backoff(std::max(pending.attempts, 1U)), now, outbox);
         return true;
     case PlacementFailure::AtLimit:
         pending.waitReason = NotRunReason::Overloaded;
@@ -216,14 +229,15 @@
 }
 
 template <BalancingPolicy Policy>
-void BasicRouter<Policy>::wait(PendingRequest &pending, TimePoint notBefore, Outbox<Output> &outbox)
+void BasicRouter<Policy>::wait(PendingRequest &pending, TimePoint notBefore, TimePoint now,
+                               Outbox<Output> &outbox)
 {
-    const auto shed = m_queue.push({ pending.request.id, pending.request.service, pending.weight(),
+    const auto shed = m_queue.push({ pending.request.id, pending.serviceName, pending.weight(),
                                      pending.deadline, notBefore });
     if (!shed)
         return;
     ++m_counts.shed;
-    finish(*shed, NotRun { NotRunReason::Overloaded }, outbox);
+    finish(*shed, NotRun { NotRunReason::Overloaded }, now, outbox);
 }
 
 template <BalancingPolicy Policy>
@@ -237,7 +251,7 @@
             continue;
         PendingRequest &pending = found->second;
         if (isTooLate(pending, now)) {
-            finish(id, NotRun { NotRunReason::DeadlinePassed }, outbox);
+            finish(id, NotRun { NotRunReason::DeadlinePassed }, now, outbox);
             continue;
         }
         if (!tryPlace(pending, now, outbox) && ++misses >= maxMisses)
@@ -258,15 +272,18 @@
 {
     const bool isOwnRetry = pending.attempts > 0;
     if (!isOwnRetry && pending.isFirstOfChain())
-        m_retries.deposit(pending.request.service, pending.request.depth,
+        m_retries.deposit(pending.serviceName, pending.request.depth,
                           pending.service->retryBudget);
     ++pending.attempts;
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
     const RequestId forwardId(m_nextForward++);
     pending.current = PendingRequest::Current {
-        forwardId, { endpoint.peer, endpoint.instance, endpoint.version, endpoint.domain, now }
+        forwardId, { endpoint.peer, endpoint.instance, endpoint.version, endpoint.domain, now },
+        m_placement.isElsewhere(endpoint)
     };
+    pending.lastTarget = endpoint.instance;
+    pending.wasSpilled = pending.current->isSpilled;
     pending.placement.version.reset(); // each attempt draws anew
     m_forwards.emplace(forwardId, pending.request.id);
     m_placement.onSent(endpoint.peer);
@@ -281,11 +298,11 @@
                                  Outbox<Output> &outbox)
 {
     PendingRequest &pending = m_requests.at(guestId);
-    const ServiceName service = pending.request.service;
+    const ServiceName service = pending.serviceName;
     const Attempted where = pending.current->where;
     const auto sample = sampleOf(outcome);
     if (sample)
-        emitSample(pending, where, *sample, now, outbox);
+        emitSample(pending, where, *sample, std::holds_alternative<Answered>(outcome), now, outbox);
     if (sample == SampleResult::Success)
         m_latencies.record(service, pending.route->name, now - where.sentAt);
     endAttempt(pending, endOf(outcome), now);
@@ -304,7 +321,7 @@
             pending.placement.avoided.push_back(where.peer);
             place(pending, now, outbox);
         } else {
-            finish(guestId, std::move(outcome), outbox);
+            finish(guestId, std::move(outcome), now, outbox);
         }
     }
     dispatch(service, now, outbox);
@@ -317,14 +334,16 @@
                                    TimePoint now, Outbox<Output> &outbox)
 {
     const RequestId id = pending.request.id;
+    if (!m_options.waitsForRoom)
+        return placeElsewhere(pending, notRun, where, now, outbox);
     if (isFinal(notRun.reason) || now >= pending.deadline)
-        return finish(id, notRun, outbox);
+        return finish(id, notRun, now, outbox);
     ++pending.refusals;
     pending.waitReason = notRun.reason;
     // A draining home that cannot be reached has stopped; only a fresh key may go on without it.
     const bool hasHomeStopped = notRun.reason == NotRunReason::Unreachable
         && pending.placement.isFreshKey
-        && m_placement.isDraining(pending.request.service, where.instance);
+        && m_placement.isDraining(pending.serviceName, where.instance);
     if (pending.hasHome() && (notRun.reason == NotRunReason::Draining || hasHomeStopped)) {
         pending.placement.drainingHomes.push_back(where.instance);
         return place(pending, now, outbox);
@@ -333,16 +352,36 @@
     const bool isFirst = pending.refusals == 1 && !pending.hasHome();
     if (isFirst
         && (notRun.reason == NotRunReason::Draining
-            || m_retries.tryTake(pending.request.service, pending.request.depth)))
+            || m_retries.tryTake(pending.serviceName, pending.request.depth)))
         return place(pending, now, outbox);
-    wait(pending, now + backoff(pending.refusals), outbox);
+    wait(pending, now + backoff(pending.refusals), now, outbox);
+}
+
+// Asks another gate at once, or tells the guest that nobody can take the request now.
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::placeElsewhere(PendingRequest &pending, NotRun notRun,
+                                         const Attempted &where, TimePoint now,
+                                         Outbox<Output> &outbox)
+{
+    ++pending.refusals;
+    pending.waitReason = notRun.reason;
+    pending.longestWait = std::max(pending.longestWait, notRun.retryAfter);
+    pending.placement.avoided.push_back(where.peer);
+    const bool isFinalHere
+        = isFinal(notRun.reason) && notRun.reason != NotRunReason::DeadlinePassed;
+    // Only what the backend server itself refused has cost it work.
+    const bool hasCost = notRun.reason == NotRunReason::BackendRefused;
+    if (isFinalHere || now >= pending.deadline || pending.refusals >= m_options.maxRefusals
+        || (hasCost && !m_retries.tryTake(pending.serviceName, pending.request.depth)))
+        return finish(pending.request.id, notRun, now, outbox);
+    place(pending, now, outbox);
 }
 
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::endAttempt(PendingRequest &pending, AttemptEnd end, TimePoint now)
 {
     m_forwards.erase(pending.current->forwardId);
-    m_placement.onEnded(pending.request.service, pending.current->where, end, now);
+    m_placement.onEnded(pending.serviceName, pending.current->where, end, now);
     pending.current.reset();
 }
 
@@ -357,42 +396,90 @@
 
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::emitSample(const PendingRequest &pending, const Attempted &where,
-                                     SampleResult result, TimePoint now,
+                                     SampleResult result, bool isAnswered, TimePoint now,
                                      Outbox<Output> &outbox) const
 {
-    outbox.emit(RequestSample { pending.request.service, pending.route->name, pending.route->kind,
+    outbox.emit(RequestSample { pending.serviceName, pending.route->name, pending.route->kind,
                                 where.version, where.domain, where.instance, result,
-                                now - where.sentAt, pending.isCrashSuspect });
+                                now - where.sentAt, isAnswered, pending.isCrashSuspect });
 }
 
 template <BalancingPolicy Policy>
-void BasicRouter<Policy>::finish(RequestId guestId, Outcome outcome, Outbox<Output> &outbox)
+void BasicRouter<Policy>::finish(RequestId guestId, Outcome outcome, TimePoint now,
+                                 Outbox<Output> &outbox)
 {
     const auto found = m_requests.find(guestId);
     outcome = found->second.overallOutcome(std::move(outcome));
+    if (auto *notRun = std::get_if<NotRun>(&outcome); notRun != nullptr && !isFinal(notRun->reason))
+        notRun->retryAfter = returnAfter(found->second, *notRun, now);
     if (std::holds_alternative<Answered>(outcome))
         ++m_counts.answered;
     else if (std::holds_alternative<NotRun>(outcome))
         ++m_counts.notRun;
     else
         ++m_counts.unknown;
+    report(found->second, outcome, now, outbox);
     m_queue.erase(guestId);
     m_deadlines.erase({ found->second.deadline, guestId });
     m_requests.erase(found);
     outbox.emit(GuestAnswer { guestId, std::move(outcome) });
 }
 
+// Those who are turned away together come back spread over time, not before there may be room, and
+// while their deadline still leaves time for an answer.
+template <BalancingPolicy Policy>
+Duration BasicRouter<Policy>::returnAfter(const PendingRequest &pending, const NotRun &notRun,
+                                          TimePoint now)
+{
+    const Duration wait = std::max({ notRun.retryAfter, pending.longestWait, leastReturn });
+    const Duration longest = std::max(leastReturn, (pending.deadline - now) / 4);
+    const double spread = 0.7 + 0.6 * uniformFraction(m_random);
+    const auto jittered
+        = Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * spread));
+    return std::min(jittered, longest);
+}
+
+// A success at the first attempt is only counted.
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::report(const PendingRequest &pending, const Outcome &outcome,
+                                 TimePoint now, Outbox<Output> &outbox) const
+{
+    const auto *answered = std::get_if<Answered>(&outcome);
+    if (answered != nullptr && !isFailure(*answered) && pending.attempts <= 1)
+        return;
+    RouterDecision decision;
+    decision.attempt = pending.request.attemptId;
+    decision.service = pending.serviceName;
+    decision.outcome = nameOf(outcome);
+    if (pending.route != nullptr)
+        decision.route = pending.route->name;
+    if (answered != nullptr)
+        decision.status = answered->status;
+    else if (const auto *notRun = std::get_if<NotRun>(&outcome))
+        decision.reason = toText(notRun->reason);
+    else
+        decision.reason = toText(std::get<OutcomeUnknown>(outcome).reason);
+    decision.attempts = pending.attempts;
+    decision.refusals = pending.refusals;
+    decision.lastTarget = pending.lastTarget;
+    decision.wasSpilled = pending.wasSpilled;
+    decision.configVersion = configVersion();
+    decision.taken = now - pending.arrivedAt;
+    decision.left = pending.deadline - now;
+    outbox.emit(std::move(decision));
+}
+
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::expire(RequestId guestId, TimePoint now, Outbox<Output> &outbox)
 {
     PendingRequest &pending = m_requests.at(guestId);
-    const ServiceName service = pending.request.service;
+    const ServiceName service = pending.serviceName;
     if (pending.current) {
-        emitSample(pending, pending.current->where, SampleResult::Timeout, now, outbox);
+        emitSample(pending, pending.current->where, SampleResult::Timeout, false, now, outbox);
         cancelAttempt(pending, AttemptEnd::TimedOut, now, outbox);
-        finish(guestId, OutcomeUnknown { UnknownReason::DeadlinePassed }, outbox);
+        finish(guestId, OutcomeUnknown { UnknownReason::DeadlinePassed }, now, outbox);
     } else {
-        finish(guestId, NotRun { pending.waitReason }, outbox);
+        finish(guestId, NotRun { pending.waitReason }, now, outbox);
     }
     dispatch(service, now, outbox);
 }
@@ -403,7 +490,7 @@
 {
     if (!pending.snapshot)
         return false;
-    const Duration expected = m_latencies.expected(pending.request.service, pending.route->name);
+    const Duration expected = m_latencies.expected(pending.serviceName, pending.route->name);
     return pending.deadline - now < std::min(expected, pending.route->deadline / 2);
 }
 
@@ -445,6 +532,7 @@
 
 template class BasicRouter<PowerOfTwoChoices>;
 template class BasicRouter<LeastCost>;
+template class BasicRouter<LeastOccupied>;
 template class BasicRouter<RandomChoice>;
 
 } // namespace camphorreach
--- a/src/filters/requests/servicetimes.cpp
+++ b/src/filters/requests/servicetimes.cpp
@@ -5,14 +5,16 @@
 namespace {
 
 constexpr std::size_t maxRoutes = 256;
-constexpr std::uint32_t minSamples = 8; // fewer may all be of a cold start
 constexpr int smoothing = 8; // a sample moves the average by one eighth
+constexpr int overallSmoothing = 32; // routes differ, so their mix needs more samples
 constexpr int refusalDecay = 32; // about 22 refusals halve the average
 
 } // namespace
 
 void ServiceTimes::record(const RouteName &route, Duration taken)
 {
+    m_overall.mean += (taken - m_overall.mean) / (m_overall.samples == 0 ? 1 : overallSmoothing);
+    ++m_overall.samples;
     auto found = m_averages.find(route);
     if (found == m_averages.end()) {
         if (m_averages.size() >= maxRoutes)
--- a/src/filters/requests/target.cpp
+++ b/src/filters/requests/target.cpp
@@ -32,7 +32,9 @@
              static_cast<double>(m_inFlight),
              static_cast<double>(m_limit.latency().count()),
              readiness(now),
-             isFresh ? m_reportedQueue : 0.0 };
+             isFresh ? m_reportedQueue : 0.0,
+             std::max<double>(m_inFlight, isFresh ? m_reportedBusy + m_sinceReport : 0),
+             static_cast<double>(std::max(endpoint.slots, 1U)) };
 }
 
 void Target::onEnded() noexcept
@@ -54,6 +56,8 @@
     m_reportedQueue = load.slots == 0
         ? 0.0
         : std::min(1.0, static_cast<double>(load.queued) / static_cast<double>(load.slots));
+    m_reportedBusy = load.running + load.queued;
+    m_sinceReport = 0;
     m_reportedAt = now;
 }
 
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -5,6 +5,7 @@
 #include <camphorreach/gate.h>
 #include <camphorreach/impl/adminendpoint.h>
 #include <camphorreach/impl/backendendpoint.h>
+#include <camphorreach/impl/decisionlog.h>
 #include <camphorreach/impl/guestendpoint.h>
 #include <camphorreach/impl/movesjson.h>
 #include <camphorreach/impl/peerendpoint.h>
@@ -108,6 +109,8 @@
     const Log m_log { "node" };
     MetricsRegistry m_metrics;
     Counter &m_samplesDropped = m_metrics.counter("moves.samples_dropped_ring_full");
+    impl::DecisionLog m_routerLog { "router", m_metrics }; // used by the routing thread
+    impl::DecisionLog m_gateLog { "gate", m_metrics }; // used by the gate's thread
     // One engine for each stage, so that no two threads share one.
     RandomSource m_routerRandom;
     RandomSource m_membershipRandom;
@@ -169,7 +172,7 @@
               onPlatformReply(user, std::move(reply));
           },
           m_metrics),
-      m_admin(settings.adminAddress, adminHandlers())
+      m_admin({ settings.adminAddress }, adminHandlers())
 { }
 
 bool Node::Impl::onGuestEvent(impl::GuestEvent &&event)
@@ -206,6 +209,9 @@
             [this](PeerReceived<QuarantineMessage> &message) {
                 return m_gate.ring().tryPush(std::move(message));
             },
+            // Of nodes that follow the store; this one learns by leases and deltas.
+            [](PeerReceived<CatalogMessage> &) { return false; },
+            [](PeerReceived<RolloutMessage> &) { return false; },
         },
         event);
 }
@@ -239,6 +245,9 @@
     std::visit(Overloaded {
                    [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
                    [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                   [this](RouterDecision &decision) {
+                       m_routerLog.write(decision, SteadyClock().now());
+                   },
                    [this](RequestSample &sample) {
                        // The router never waits for another stage, so that no cycle can form.
                        if (!m_moves.ring().tryPush(std::move(sample)))
@@ -256,6 +265,9 @@
                    [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
                    [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
                    [this](GateDrained &) { m_gateDrained.set_value(); },
+                   [this](GateDecision &decision) {
+                       m_gateLog.write(decision, SteadyClock().now());
+                   },
                },
                output);
 }
--- a/src/pipelines/text.cpp
+++ b/src/pipelines/text.cpp
@@ -72,6 +72,8 @@
         return "unreachable";
     case NotRunReason::Malformed:
         return "malformed";
+    case NotRunReason::BackendRefused:
+        return "backend-refused";
     case NotRunReason::KeyReused:
         return "idempotency-key-reused";
     }
--- a/src/tree/nodesettings.cpp
+++ b/src/tree/nodesettings.cpp
@@ -14,21 +14,6 @@
 constexpr std::int64_t maxSlots = 100'000;
 constexpr std::int64_t maxConnections = 100'000;
 
-LogLevel readLogLevel(impl::TomlReader &reader)
-{
-    const std::string name = reader.text("level", false);
-    if (name.empty() || name == "info")
-        return LogLevel::Info;
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    if (name == "error")
-        return LogLevel::Error;
-    reader.report("level", "must be debug, info, warning or error");
-    return LogLevel::Info;
-}
-
 void checkListeners(const NodeSettings &settings, impl::TomlReader &listen)
 {
     std::set<NetAddress> seen;
@@ -90,7 +75,7 @@
     peers.reportUnknown();
     if (document.contains("log")) {
         impl::TomlReader log = root.table("log");
-        settings.logLevel = readLogLevel(log);
+        settings.logLevel = impl::readLogLevel(log);
         log.reportUnknown();
     }
     settings.randomSeed = static_cast<std::uint64_t>(
--- /dev/null
+++ b/src/tree/sidecarsettings.cpp
@@ -0,0 +1,100 @@
+// Checks the settings of a node that follows the platform's store.
+#include <camphorreach/impl/tomldocument.h>
+#include <camphorreach/impl/tomlreader.h>
+#include <camphorreach/sidecarsettings.h>
+
+#include <limits>
+
+namespace camphorreach {
+namespace {
+
+constexpr std::int64_t longestMs = 3'600'000;
+constexpr std::int64_t maxMemoryMb = 1'000'000;
+
+Duration readMs(impl::TomlReader &reader, std::string_view key, Duration fallback)
+{
+    using std::chrono::milliseconds;
+    const auto fallbackMs = std::chrono::duration_cast<milliseconds>(fallback).count();
+    return milliseconds(reader.integer(key, 1, longestMs, fallbackMs));
+}
+
+void readInstance(SidecarSettings &settings, impl::TomlReader reader)
+{
+    settings.instance = InstanceId(reader.text("name"));
+    settings.domain = FailureDomain(reader.text("failure-domain"));
+    settings.region = reader.text("region", false);
+    settings.memoryMb = static_cast<std::uint32_t>(
+        reader.integer("memory-mb", 16, maxMemoryMb, settings.memoryMb));
+    settings.stopTime = readMs(reader, "stop-ms", settings.stopTime);
+    reader.reportUnknown();
+}
+
+void readListen(SidecarSettings &settings, impl::TomlReader reader)
+{
+    settings.guestAddress = reader.address("guest");
+    settings.peerAddress = reader.address("peer");
+    settings.readyAddress = reader.address("ready");
+    settings.announceAddress = reader.address("announcements");
+    reader.reportUnknown();
+}
+
+void readBackendServer(SidecarSettings &settings, impl::TomlReader reader)
+{
+    settings.backendServer.address = reader.address("address");
+    settings.backendServer.service = ServiceName(reader.text("service"));
+    settings.heartbeat = readMs(reader, "heartbeat-ms", settings.heartbeat);
+    reader.reportUnknown();
+}
+
+void readRetries(SidecarSettings &settings, impl::TomlReader reader)
+{
+    RetrySettings &retries = settings.retries;
+    const auto thousandths = reader.integer("ratio-thousandths", 0, 1000,
+                                            retries.ratio.millionths() / 1000);
+    retries.ratio = Share::fromMillionths(static_cast<std::uint32_t>(thousandths) * 1000);
+    retries.extra = static_cast<std::uint32_t>(
+        reader.integer("extra", 0, std::numeric_limits<std::int32_t>::max(), retries.extra));
+    retries.window = readMs(reader, "window-ms", retries.window);
+    reader.reportUnknown();
+}
+
+void readDocument(SidecarSettings &settings, const toml::table &document, const std::string &file,
+                  Findings &findings)
+{
+    impl::TomlReader root(document, "", file, findings);
+    readInstance(settings, root.table("instance"));
+    readListen(settings, root.table("listen"));
+    readBackendServer(settings, root.table("backend-server"));
+    impl::TomlReader platform = root.table("platform");
+    settings.platform = platform.address("address");
+    platform.reportUnknown();
+    impl::TomlReader peers = root.table("peers");
+    settings.seeds = peers.addresses("seeds");
+    peers.reportUnknown();
+    if (document.contains("retries"))
+        readRetries(settings, root.table("retries"));
+    if (document.contains("log")) {
+        impl::TomlReader log = root.table("log");
+        settings.logLevel = impl::readLogLevel(log);
+        log.reportUnknown();
+    }
+    settings.randomSeed = static_cast<std::uint64_t>(
+        root.integer("random-seed", 0, std::numeric_limits<std::int64_t>::max(), 0));
+    root.reportUnknown();
+}
+
+} // namespace
+
+Result<SidecarSettings> parseSidecarSettings(std::string_view text, const std::string &file)
+{
+    Findings findings;
+    SidecarSettings settings;
+    const auto document = impl::parseDocument(text, file, findings);
+    if (document)
+        readDocument(settings, *document, file, findings);
+    if (!findings.empty())
+        return Error { ErrorCode::InvalidInput, "the settings are not valid", findings };
+    return settings;
+}
+
+} // namespace camphorreach
--- a/src/tree/tomlreader.cpp
+++ b/src/tree/tomlreader.cpp
@@ -124,6 +124,21 @@
     return TomlReader(table != nullptr ? *table : empty, pathOf(key), m_file, m_findings);
 }
 
+LogLevel readLogLevel(TomlReader &reader)
+{
+    const std::string name = reader.text("level", false);
+    if (name.empty() || name == "info")
+        return LogLevel::Info;
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    if (name == "error")
+        return LogLevel::Error;
+    reader.report("level", "must be debug, info, warning or error");
+    return LogLevel::Info;
+}
+
 void TomlReader::reportUnknown()
 {
     for (const auto &[key, node] : m_table) {
--- a/tests/gatefixture.h
+++ b/tests/gatefixture.h
@@ -137,6 +137,7 @@
                            [this](BackendCancel &cancel) { cancels.push_back(cancel); },
                            [this](PeerSend &send) { sent.push_back(std::move(send)); },
                            [this](GateDrained &) { ++drainReports; },
+                           [](GateDecision &) {},
                        },
                        output);
         }
--- a/tests/routerfixture.h
+++ b/tests/routerfixture.h
@@ -153,6 +153,7 @@
             std::visit(Overloaded {
                            [this](GuestAnswer &item) { answers.push_back(std::move(item)); },
                            [this](RequestSample &item) { samples.push_back(std::move(item)); },
+                           [](RouterDecision &) {},
                            [this](PeerSend &send) { collect(send); },
                        },
                        output);
--- a/tests/scenario/simnode.cpp
+++ b/tests/scenario/simnode.cpp
@@ -167,6 +167,8 @@
             },
             [this](PeerReceived<MoveMessage> &message) { feed(m_moves, std::move(message)); },
             [this](PeerReceived<QuarantineMessage> &message) { feed(m_gate, std::move(message)); },
+            [](PeerReceived<CatalogMessage> &) {}, // of nodes that follow the store
+            [](PeerReceived<RolloutMessage> &) {},
         },
         event);
 }
--- a/tests/scenario/simnode.h
+++ b/tests/scenario/simnode.h
@@ -82,6 +82,8 @@
     void dispatch(MoveSharesChanged &&changed);
     void dispatch(JoinPeers &&join);
     void dispatch(GateDrained &&) { }
+    void dispatch(const GateDecision &) { }
+    void dispatch(const RouterDecision &) { }
 
     const NetAddress m_address;
     const FailureDomain m_domain;
