--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -84,6 +84,7 @@
     Follower m_rollouts { StoreKind::Rollouts };
     Follower m_nodes { StoreKind::Nodes };
     std::vector<NetAddress> m_known; // of the current list of nodes; bounded
+    unsigned m_earlyLists = 4; // lists of nodes that still follow each other quickly
     std::optional<StoreCallId> m_registration; // under way
     std::optional<TimePoint> m_nextRegistration = TimePoint {}; // empty once registered
     bool m_isRegistered = false; // the record may exist, so it is replaced rather than created
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -52,6 +52,9 @@
         /// Nothing is handed over before the backend server has announced itself. Its slots, service
         /// and version are then as announced.
         bool needsAnnouncement = false;
+        /// A request that could not be answered within its target is refused at once, but for a few
+        /// that wait for idle slots; one that waits leaves while it can still be answered elsewhere.
+        bool rejectsEarly = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -93,6 +96,9 @@
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
     void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
+    [[nodiscard]] Duration leastTime(const RouteName &route) const;
+    [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
+    [[nodiscard]] std::optional<GateWork> nextWork(TimePoint now);
     [[nodiscard]] Duration expectedWait(const GateWork &work) const;
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
@@ -124,10 +130,12 @@
     bool m_isAccepting; // as announced
     QuarantineSpread m_spread;
     GateQueue m_queue;
+    GateQueue m_late; // past their target; run when nothing else waits
     GateQueue m_isolated; // suspects, each of which will run alone
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
+    std::vector<GateWork> m_shed; // by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots, and only one while m_alone is set
     std::optional<CallId> m_alone; // the suspect that runs alone
     std::optional<TimePoint> m_holdSince; // since when slots are kept free for a suspect
--- a/include/camphorreach/gatequeue.h
+++ b/include/camphorreach/gatequeue.h
@@ -16,14 +16,16 @@
 {
     LinkId link;
     ForwardRequest request;
-    TimePoint deadline {};
+    TimePoint deadline {}; ///< When it leaves the queue at the latest.
     Digest fingerprint; ///< Of the request's content.
+    TimePoint end {}; ///< When its answer is due at the latest.
+    TimePoint target {}; ///< Until when its answer earns the full credit; orders the queue.
 };
 
 /// Bytes that a request occupies while it waits, its own structure included.
 [[nodiscard]] std::size_t sizeOf(const GateWork &work) noexcept;
 
-/// Orders requests by the weight of their kind, then by deadline. When it is full, the request of
+/// Orders requests by the weight of their kind, then by target. When it is full, the request of
 /// the lowest weight with the latest deadline leaves.
 class GateQueue
 {
@@ -63,6 +65,7 @@
     struct Place
     {
         std::uint32_t weight = 0;
+        TimePoint target {};
         TimePoint deadline {};
         std::uint64_t sequence = 0; // keeps the order of arrival, and places unique
 
--- a/include/camphorreach/membership.h
+++ b/include/camphorreach/membership.h
@@ -86,6 +86,7 @@
     std::vector<MemberUpdate> learn(const std::vector<MemberUpdate> &updates, TimePoint now,
                                     bool isToSpread = true);
     void refute(const MemberUpdate &claim);
+    void onJoinPeers(JoinPeers &&join, Outbox<Output> &outbox);
     void onSelf(SelfChanged &&changed, TimePoint now, Outbox<Output> &outbox);
     void announceSelf(TimePoint now, Outbox<Output> &outbox);
     void updateState(TimePoint now, Outbox<Output> &outbox);
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -81,6 +81,8 @@
     bool isIdempotent = false;
     BackendVersion version;
     Duration budget {}; ///< Time left when it was sent.
+    /// Time left for an answer that earns its full credit; zero when that has passed or is unknown.
+    Duration targetBudget {};
     IdempotencyKey key;
     /// The guest states that it has never sent `key` before, and every earlier attempt of the entry
     /// node is proved not to have run. See docs/notes/idempotency.md.
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -13,7 +13,8 @@
 constexpr Duration watchTime = std::chrono::seconds(20);
 // Nodes are only listed to find those that gossip has lost, so it may be slow and stale.
 constexpr Duration listInterval = std::chrono::seconds(20);
-constexpr Duration firstListInterval = std::chrono::milliseconds(500);
+// Nodes that start together are entered within a second or two of each other.
+constexpr Duration earlyListInterval = std::chrono::milliseconds(700);
 constexpr std::size_t maxKnown = 64; // more give no better chance to join
 constexpr Duration firstBackoff = std::chrono::milliseconds(150);
 constexpr Duration longestBackoff = std::chrono::milliseconds(1200);
@@ -138,7 +139,9 @@
     const bool isAlone = m_known.empty();
     if (!isAlone)
         outbox.emit(JoinPeers { std::exchange(m_known, {}) });
-    follower.nextCall = now + (isAlone ? firstListInterval : listInterval);
+    if (!isAlone && m_earlyLists > 0)
+        --m_earlyLists;
+    follower.nextCall = now + (m_earlyLists > 0 ? earlyListInterval : listInterval);
 }
 
 void Catalog::onFailure(Follower &follower, const StoreResult &result, TimePoint now)
--- a/src/filters/membership/membership.cpp
+++ b/src/filters/membership/membership.cpp
@@ -69,14 +69,7 @@
                 updateState(now, outbox);
             },
             [&](NodeLeaving &) { leave(now, outbox); },
-            [&](JoinPeers &join) {
-                for (NetAddress &peer : join.peers) {
-                    if (peer != m_self.peer
-                        && std::ranges::find(m_joinPeers, peer) == m_joinPeers.end())
-                        m_joinPeers.insert(m_joinPeers.begin(), std::move(peer));
-                }
-                m_joinPeers.resize(std::min(m_joinPeers.size(), maxJoinPeers));
-            },
+            [&](JoinPeers &join) { onJoinPeers(std::move(join), outbox); },
             [&](BackendReachable &reachable) {
                 if (reachable.isReachable && !m_isBackendReachable)
                     m_isBackendLeaving = false;
@@ -93,6 +86,21 @@
     schedulePublication(now);
 }
 
+// Each of them is greeted, so that nodes which start together know each other after one round trip.
+void Membership::onJoinPeers(JoinPeers &&join, Outbox<Output> &outbox)
+{
+    for (NetAddress &peer : join.peers) {
+        const bool isLive = std::ranges::any_of(
+            m_list.live(), [&](const auto *record) { return record->endpoint.peer == peer; });
+        if (peer == m_self.peer || isLive)
+            continue;
+        send(peer, Ping { ++m_sequence, gossip() }, outbox);
+        if (std::ranges::find(m_joinPeers, peer) == m_joinPeers.end())
+            m_joinPeers.insert(m_joinPeers.begin(), std::move(peer));
+    }
+    m_joinPeers.resize(std::min(m_joinPeers.size(), maxJoinPeers));
+}
+
 void Membership::onMessage(PeerReceived<MembershipMessage> &received, TimePoint now,
                            Outbox<Output> &outbox)
 {
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -13,6 +13,8 @@
 // Two hops between failure domains at 0.5 ms each: the request on its way here, and the answer.
 constexpr Duration hopAllowance = std::chrono::milliseconds(1);
 constexpr std::size_t maxIsolated = 64;
+// Half of all requests take less than about this part of the usual time.
+constexpr int latestStartPercent = 70;
 // A long call must not keep all others waiting for the turn of a suspect.
 constexpr Duration maxHold = std::chrono::milliseconds(500);
 // After a suspect's turn, other requests have the slots for this many times its length, so that
@@ -55,7 +57,7 @@
 Gate::Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random)
     : m_limits(limits), m_slots(limits.slots), m_service(service),
       m_isAccepting(!limits.needsAnnouncement), m_spread(std::move(service), std::move(self), random),
-      m_queue(limits.queue), m_isolated(isolatedLimits(limits.queue)), m_results(limits.results),
+      m_queue(limits.queue), m_late(limits.queue), m_isolated(isolatedLimits(limits.queue)), m_results(limits.results),
       m_containment(limits.crashes)
 { }
 
@@ -85,9 +87,16 @@
 void Gate::onReceived(ForwardReceived &&received, TimePoint now, Outbox<Output> &outbox)
 {
     ++m_counts.received;
-    const TimePoint deadline = now + received.request.budget - hopAllowance;
+    const TimePoint end = now + received.request.budget - hopAllowance;
+    const bool hasTarget = m_limits.rejectsEarly && received.request.targetBudget > Duration::zero();
+    const TimePoint target = hasTarget ? now + received.request.targetBudget : end;
+    // A request that leaves the queue must still have time to run elsewhere, or to be refused.
+    const Duration needed = m_limits.rejectsEarly
+        ? leastTime(received.request.route)
+        : Duration::zero();
     const Digest fingerprint = fingerprintOf(received.request.content);
-    admit({ received.link, std::move(received.request), deadline, fingerprint }, now, outbox);
+    admit({ received.link, std::move(received.request), end - needed, fingerprint, end, target },
+          now, outbox);
 }
 
 void Gate::admit(GateWork &&work, TimePoint now, Outbox<Output> &outbox)
@@ -125,17 +134,50 @@
     if (!canFinish(work, now))
         return NotRun { NotRunReason::DeadlinePassed };
     const Duration wait = expectedWait(work);
-    if (work.deadline - now < wait + m_serviceTimes.usual(request.route))
+    const Duration needed = wait + m_serviceTimes.usual(request.route);
+    if (work.end - now < needed)
+        return NotRun { NotRunReason::Overloaded, wait };
+    // Slow is better than refused, as long as it does not make the others slow as well.
+    if (m_limits.rejectsEarly && work.target - now < needed && m_late.size() >= m_slots)
         return NotRun { NotRunReason::Overloaded, wait };
     return std::nullopt;
 }
 
+// Time that a request must have left to be worth a start.
+Duration Gate::leastTime(const RouteName &route) const
+{
+    const Duration usual = m_serviceTimes.usual(route);
+    return m_limits.rejectsEarly ? usual * latestStartPercent / 100 : usual;
+}
+
+// Whether an answer within the target can no longer be expected.
+bool Gate::isLate(const GateWork &work, TimePoint now) const
+{
+    return m_limits.rejectsEarly
+        && work.target - now < leastTime(work.request.route);
+}
+
+// The next request to start: one that can meet its target, else one that is late anyway.
+std::optional<GateWork> Gate::nextWork(TimePoint now)
+{
+    while (!m_queue.isEmpty()) {
+        GateWork work = m_queue.pop();
+        if (!isLate(work, now))
+            return work;
+        for (GateWork &shed : m_late.push(std::move(work)))
+            m_shed.push_back(std::move(shed));
+    }
+    if (m_late.isEmpty())
+        return std::nullopt;
+    return m_late.pop();
+}
+
 // How long the request would wait for a slot behind what runs before it.
 Duration Gate::expectedWait(const GateWork &work) const
 {
     if (m_running.size() < m_slots)
         return Duration::zero();
-    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(work) + 1);
+    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(work)) + 1;
     return m_serviceTimes.overall() * ahead / static_cast<Duration::rep>(m_slots);
 }
 
@@ -153,8 +195,10 @@
     }
     m_spread.setService(m_service);
     std::vector<GateWork> works = m_queue.takeAll();
-    for (GateWork &work : m_isolated.takeAll())
-        works.push_back(std::move(work));
+    for (GateQueue *queue : { &m_late, &m_isolated }) {
+        for (GateWork &work : queue->takeAll())
+            works.push_back(std::move(work));
+    }
     for (GateWork &work : works) {
         if (const auto notRun = refusal(work, now))
             refuse(work, *notRun, now, outbox);
@@ -168,7 +212,9 @@
     const auto standing = m_containment.standingOf(work.fingerprint, now);
     if (standing == CrashContainment::Standing::Quarantined)
         return refuse(work, NotRunReason::Quarantined, now, outbox);
-    GateQueue &queue = standing == CrashContainment::Standing::Suspect ? m_isolated : m_queue;
+    GateQueue &queue = standing == CrashContainment::Standing::Suspect ? m_isolated
+        : isLate(work, now)                                            ? m_late
+                                                                       : m_queue;
     const auto shed = queue.push(std::move(work));
     m_counts.shed += shed.size();
     refuseAll(shed, NotRunReason::Overloaded, now, outbox);
@@ -177,10 +223,10 @@
 // Whether the time left covers the usual service time.
 bool Gate::canFinish(const GateWork &work, TimePoint now)
 {
-    const Duration left = work.deadline - now;
+    const Duration left = work.end - now;
     if (left <= Duration::zero())
         return false;
-    if (left >= m_serviceTimes.usual(work.request.route))
+    if (left >= leastTime(work.request.route))
         return true;
     m_serviceTimes.noteRefusal(work.request.route);
     return false;
@@ -191,8 +237,10 @@
 {
     m_results.dropWaiters(link, id);
     std::vector<GateWork> dropped = m_queue.takeOf(link, id);
-    for (GateWork &work : m_isolated.takeOf(link, id))
-        dropped.push_back(std::move(work));
+    for (GateQueue *queue : { &m_late, &m_isolated }) {
+        for (GateWork &work : queue->takeOf(link, id))
+            dropped.push_back(std::move(work));
+    }
     cancelCalls(link, id, outbox);
     for (const GateWork &work : dropped) {
         if (!isKeyed(work.request))
@@ -265,6 +313,7 @@
         onCrash(now, outbox);
     // Refused now rather than at their deadlines, so that they can run at another gate.
     refuseAll(m_queue.takeAll(), NotRunReason::Unreachable, now, outbox);
+    refuseAll(m_late.takeAll(), NotRunReason::Unreachable, now, outbox);
     refuseAll(m_isolated.takeAll(), NotRunReason::Unreachable, now, outbox);
 }
 
@@ -303,6 +352,7 @@
 void Gate::refuseQuarantined(Digest fingerprint, TimePoint now, Outbox<Output> &outbox)
 {
     refuseAll(m_queue.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
+    refuseAll(m_late.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
     refuseAll(m_isolated.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
 }
 
@@ -329,14 +379,18 @@
 {
     if (!m_isReachable || !m_isAccepting || m_alone || holdsForIsolation(now, outbox))
         return;
-    while (!m_queue.isEmpty() && m_running.size() < m_slots) {
-        GateWork work = m_queue.pop();
+    while (m_running.size() < m_slots) {
+        std::optional<GateWork> work = nextWork(now);
+        if (!work)
+            break;
         // Its content may have become suspect while it waited.
-        if (m_containment.standingOf(work.fingerprint, now) != CrashContainment::Standing::Normal)
-            enqueue(std::move(work), now, outbox);
+        if (m_containment.standingOf(work->fingerprint, now) != CrashContainment::Standing::Normal)
+            enqueue(*std::move(work), now, outbox);
         else
-            (void)start(std::move(work), now, outbox);
+            (void)start(*std::move(work), now, outbox);
     }
+    m_counts.shed += m_shed.size();
+    refuseAll(std::exchange(m_shed, {}), NotRunReason::Overloaded, now, outbox);
     if (!m_isolated.isEmpty() && m_running.empty())
         (void)holdsForIsolation(now, outbox);
 }
@@ -378,7 +432,7 @@
         return false;
     }
     const CallId id(m_nextCall++);
-    work.request.budget = work.deadline - now;
+    work.request.budget = work.end - now;
     ++m_counts.handedOver;
     outbox.emit(BackendCall { id, work.request, m_server });
     work.request.content = {};
@@ -396,7 +450,7 @@
     ++m_counts.refused;
     outbox.emit(GateDecision { work.request.attemptId, work.request.service, work.request.route,
                                notRun.reason, load(), notRun.retryAfter,
-                               m_serviceTimes.usual(work.request.route), work.deadline - now });
+                               m_serviceTimes.usual(work.request.route), work.end - now });
     settle(work, true, notRun, notRun.reason == NotRunReason::Quarantined, now, outbox);
 }
 
@@ -432,6 +486,7 @@
     m_results.start(now);
     m_results.expire(now);
     refuseAll(m_queue.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
+    refuseAll(m_late.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
     refuseAll(m_isolated.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
     if (const auto repair = m_spread.nextRepair(); repair && *repair <= now)
         emitAll(m_spread.repair(m_containment.entries(now), now), outbox);
@@ -447,6 +502,7 @@
             earliest = time;
     };
     consider(m_queue.earliestDeadline());
+    consider(m_late.earliestDeadline());
     consider(m_isolated.earliestDeadline());
     consider(m_results.nextExpiry());
     consider(m_spread.nextRepair());
@@ -458,7 +514,7 @@
 GateLoad Gate::load() const noexcept
 {
     return { static_cast<std::uint32_t>(m_running.size()),
-             static_cast<std::uint32_t>(m_queue.size() + m_isolated.size()), m_slots };
+             static_cast<std::uint32_t>(m_queue.size() + m_late.size() + m_isolated.size()), m_slots };
 }
 
 void Gate::reportIfDrained(Outbox<Output> &outbox)
@@ -469,7 +525,7 @@
 
 bool Gate::isIdle() const noexcept
 {
-    return m_running.empty() && m_queue.isEmpty() && m_isolated.isEmpty();
+    return m_running.empty() && m_queue.isEmpty() && m_late.isEmpty() && m_isolated.isEmpty();
 }
 
 bool Gate::isDrained() const noexcept
--- a/src/filters/requests/gatequeue.cpp
+++ b/src/filters/requests/gatequeue.cpp
@@ -17,13 +17,13 @@
 
 bool GateQueue::Place::operator<(const Place &other) const noexcept
 {
-    return std::tie(other.weight, deadline, sequence)
-        < std::tie(weight, other.deadline, other.sequence);
+    return std::tie(other.weight, target, deadline, sequence)
+        < std::tie(weight, other.target, other.deadline, other.sequence);
 }
 
 std::vector<GateWork> GateQueue::push(GateWork work)
 {
-    const Place place { work.request.kindWeight, work.deadline, m_nextSequence++ };
+    const Place place { work.request.kindWeight, work.target, work.deadline, m_nextSequence++ };
     m_bytes += sizeOf(work);
     m_deadlines.emplace(place.deadline, place.sequence);
     m_places.emplace(place.sequence, place);
@@ -93,7 +93,7 @@
 
 std::size_t GateQueue::countBefore(const GateWork &work) const
 {
-    const Place place { work.request.kindWeight, work.deadline, m_nextSequence };
+    const Place place { work.request.kindWeight, work.target, work.deadline, m_nextSequence };
     return static_cast<std::size_t>(
         std::distance(m_entries.begin(), m_entries.lower_bound(place)));
 }
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -79,6 +79,8 @@
     forward.isIdempotent = route->isIdempotent;
     forward.version = current->where.version;
     forward.budget = left - std::min(hopAllowance, left / 10);
+    forward.targetBudget
+        = std::max(Duration::zero(), arrivedAt + route->targetLatency - now - hopAllowance);
     forward.key = request.key;
     forward.isFreshKey = request.isFreshKey;
     forward.depth = request.depth;
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -34,6 +34,7 @@
 {
     Gate::Limits limits;
     limits.needsAnnouncement = true;
+    limits.rejectsEarly = true;
     limits.crashes.isEnabled = false;
     return limits;
 }
