--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -97,6 +97,7 @@
     void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
     [[nodiscard]] Duration leastTime(const RouteName &route) const;
+    [[nodiscard]] bool missesTarget(const GateWork &work, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
     [[nodiscard]] std::optional<GateWork> nextWork(TimePoint now);
     [[nodiscard]] Duration expectedWait(const GateWork &work) const;
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -1,4 +1,5 @@
-// Mesh node: the pipeline beside a backend server whose routes and orders lie in the platform's store.
+// Mesh node: the pipeline beside a backend server whose routes and orders lie in the platform's
+// store.
 #pragma once
 
 #include <camphorreach/catalog.h>
@@ -6,6 +7,7 @@
 #include <camphorreach/impl/adminendpoint.h>
 #include <camphorreach/impl/backendendpoint.h>
 #include <camphorreach/impl/decisionlog.h>
+#include <camphorreach/impl/event.h>
 #include <camphorreach/impl/guestendpoint.h>
 #include <camphorreach/impl/peerendpoint.h>
 #include <camphorreach/impl/platformendpoint.h>
@@ -20,7 +22,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -38,8 +39,8 @@
 
 /// How a platform speaks. It holds names, formats and calls, and decides nothing.
 template <typename P>
-concept PlatformDialect = GuestDialect<typename P::Guests> && BackendDialect<typename P::Backend>
-    && PlatformCodec<typename P::Store> && requires(const HttpRequest &request)
+concept PlatformDialect = GuestDialect<typename P::Guests> && BackendDialect<
+    typename P::Backend> && PlatformCodec<typename P::Store> && requires(const HttpRequest &request)
 {
     {
         P::decodeLocal(request)
@@ -86,8 +87,8 @@
     static constexpr std::size_t controlPlaces = 1024;
     static constexpr std::size_t controlReserve = 64;
     static constexpr std::size_t maxGuestConnections = 2048;
-    // The backend server serves one request at a time on a connection; a few more replace those that
-    // are being closed.
+    // The backend server serves one request at a time on a connection; a few more replace those
+    // that are being closed.
     static constexpr std::size_t maxBackendConnections = 64;
     static constexpr std::size_t warmConnections = 2;
     // Announcements may be seconds late; after so many missed ones the server is taken for gone.
@@ -139,7 +140,7 @@
     BasicBackendEndpoint<typename Dialect::Backend> m_backend;
     StoreEndpoint m_store;
     AdminEndpoint m_admin;
-    std::promise<void> m_gateDrained; // set once, by the gate's thread
+    Event m_gateDrained; // set by the gate's thread
 };
 
 template <PlatformDialect Dialect>
@@ -168,19 +169,19 @@
           controlReserve),
       m_rollouts(
           std::make_unique<Rollouts>(endpointOf(settings), RolloutPolicy {}),
-          [this](Rollouts::Output &&output) { onRolloutsOutput(std::move(output)); },
-          controlPlaces, controlReserve),
+          [this](Rollouts::Output &&output) { onRolloutsOutput(std::move(output)); }, controlPlaces,
+          controlReserve),
       m_local(
           std::make_unique<LocalServer>(settings.backendServer,
                                         missedHeartbeats * settings.heartbeat),
-          [this](LocalServer::Output &&output) { onLocalOutput(std::move(output)); },
-          controlPlaces, controlReserve),
+          [this](LocalServer::Output &&output) { onLocalOutput(std::move(output)); }, controlPlaces,
+          controlReserve),
       m_guests(
           settings.guestAddress, maxGuestConnections,
           [this](GuestEvent &&event) { return onGuestEvent(std::move(event)); }, m_metrics),
       m_peers(
-          settings.peerAddress,
-          [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); }, m_metrics),
+          settings.peerAddress, [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); },
+          m_metrics),
       m_backend(
           settings.backendServer.address, maxBackendConnections, warmConnections,
           [this](BackendEvent &&event) { onBackendEvent(std::move(event)); }, m_metrics),
@@ -269,35 +270,33 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onRouterOutput(MeshRouter::Output &&output)
 {
-    std::visit(Overloaded {
-                   [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](RouterDecision &decision) {
-                       m_routerLog.write(decision, SteadyClock().now());
-                   },
-                   [this](RequestSample &sample) {
-                       // The router never waits for another stage, so that no cycle can form.
-                       if (!m_rollouts.ring().tryPush(std::move(sample)))
-                           m_samplesDropped.add();
-                   },
-               },
-               output);
+    std::visit(
+        Overloaded {
+            [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
+            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+            [this](RouterDecision &decision) { m_routerLog.write(decision, SteadyClock().now()); },
+            [this](RequestSample &sample) {
+                // The router never waits for another stage, so that no cycle can form.
+                if (!m_rollouts.ring().tryPush(std::move(sample)))
+                    m_samplesDropped.add();
+            },
+        },
+        output);
 }
 
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onGateOutput(Gate::Output &&output)
 {
-    std::visit(Overloaded {
-                   [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
-                   [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
-                   [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](GateDrained &) { m_gateDrained.set_value(); },
-                   [this](GateDecision &decision) {
-                       m_gateLog.write(decision, SteadyClock().now());
-                   },
-               },
-               output);
+    std::visit(
+        Overloaded {
+            [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
+            [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
+            [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
+            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+            [this](GateDrained &) { m_gateDrained.set(); },
+            [this](GateDecision &decision) { m_gateLog.write(decision, SteadyClock().now()); },
+        },
+        output);
 }
 
 template <PlatformDialect Dialect>
@@ -318,25 +317,24 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onCatalogOutput(Catalog::Output &&output)
 {
-    std::visit(
-        Overloaded {
-            [this](StoreCall &call) {
-                m_store.ring().push({ StoreUser::Catalog, std::move(call) });
-            },
-            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-            [this](SnapshotChanged &changed) {
-                m_log.info("event=config-in-force version="
-                           + std::to_string(changed.snapshot->version.value())
-                           + " routes=" + std::to_string(changed.snapshot->hostRoutes.size()));
-                m_guests.setLimits(changed.snapshot->limits);
-                m_local.ring().push(changed);
-                m_router.ring().push(std::move(changed));
-                m_isReady = !m_isStopping;
-            },
-            [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
-            [this](JoinPeers &join) { (void)m_membership.ring().tryPush(std::move(join)); },
-        },
-        output);
+    std::visit(Overloaded {
+                   [this](StoreCall &call) {
+                       m_store.ring().push({ StoreUser::Catalog, std::move(call) });
+                   },
+                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                   [this](SnapshotChanged &changed) {
+                       m_log.info("event=config-in-force version="
+                                  + std::to_string(changed.snapshot->version.value()) + " routes="
+                                  + std::to_string(changed.snapshot->hostRoutes.size()));
+                       m_guests.setLimits(changed.snapshot->limits);
+                       m_local.ring().push(changed);
+                       m_router.ring().push(std::move(changed));
+                       m_isReady = !m_isStopping;
+                   },
+                   [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
+                   [this](JoinPeers &join) { (void)m_membership.ring().tryPush(std::move(join)); },
+               },
+               output);
 }
 
 template <PlatformDialect Dialect>
@@ -356,8 +354,8 @@
 void MeshNode<Dialect>::onLocalOutput(LocalServer::Output &&output)
 {
     auto &announced = std::get<BackendAnnounced>(output);
-    m_log.info("event=backend-announced server=" + announced.server.value() + " service="
-               + announced.service.value() + " version=" + announced.version.value()
+    m_log.info("event=backend-announced server=" + announced.server.value()
+               + " service=" + announced.service.value() + " version=" + announced.version.value()
                + " accepting=" + (announced.isAccepting ? "1" : "0"));
     {
         const std::lock_guard lock(m_callerMutex);
@@ -415,8 +413,8 @@
 std::string MeshNode<Dialect>::dump() const
 {
     const auto part = [](const auto &filter) { return dumpOf(filter); };
-    return "{\"instance\":\"" + m_settings.instance.value() + "\",\"router\":"
-        + m_router.inspect(part) + ",\"gate\":" + m_gate.inspect(part)
+    return "{\"instance\":\"" + m_settings.instance.value()
+        + "\",\"router\":" + m_router.inspect(part) + ",\"gate\":" + m_gate.inspect(part)
         + ",\"members\":" + m_membership.inspect(part) + "}";
 }
 
@@ -454,17 +452,14 @@
     m_isReady = false;
     m_membership.ring().push(DrainStarted {});
     m_gate.ring().push(DrainStarted {});
-    const auto waitFor = [end](std::future<void> &&closed) {
-        return closed.wait_for(end - SteadyClock().now()) == std::future_status::ready;
-    };
-    auto guestsClosed = std::make_shared<std::promise<void>>();
-    m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set_value(); });
-    bool isWhole = waitFor(guestsClosed->get_future());
-    isWhole = waitFor(m_gateDrained.get_future()) && isWhole;
+    const auto guestsClosed = std::make_shared<Event>();
+    m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
+    bool isWhole = guestsClosed->waitUntil(end);
+    isWhole = m_gateDrained.waitUntil(end) && isWhole;
     // Links close last: each waits for the answers to all requests on it.
-    auto peersClosed = std::make_shared<std::promise<void>>();
-    m_peers.drain([peersClosed] { peersClosed->set_value(); });
-    isWhole = waitFor(peersClosed->get_future()) && isWhole;
+    const auto peersClosed = std::make_shared<Event>();
+    m_peers.drain([peersClosed] { peersClosed->set(); });
+    isWhole = peersClosed->waitUntil(end) && isWhole;
     if (!isWhole)
         m_log.warning("event=stop-cut-short");
     m_membership.ring().push(NodeLeaving {});
--- a/include/camphorreach/store.h
+++ b/include/camphorreach/store.h
@@ -34,7 +34,7 @@
 struct StoreList
 {
     StoreKind kind = StoreKind::Configuration;
-    std::string after; ///< The name behind which the page begins; empty for the first page.
+    std::string after {}; ///< The name behind which the page begins; empty for the first page.
     bool mayBeStale = false; ///< A cheaper answer that may be seconds old will do.
 };
 
@@ -42,7 +42,7 @@
 struct StoreFollow
 {
     StoreKind kind = StoreKind::Configuration;
-    ObjectVersion since;
+    ObjectVersion since {};
     Duration wait {};
 };
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -56,8 +56,9 @@
 
 Gate::Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random)
     : m_limits(limits), m_slots(limits.slots), m_service(service),
-      m_isAccepting(!limits.needsAnnouncement), m_spread(std::move(service), std::move(self), random),
-      m_queue(limits.queue), m_late(limits.queue), m_isolated(isolatedLimits(limits.queue)), m_results(limits.results),
+      m_isAccepting(!limits.needsAnnouncement),
+      m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
+      m_late(limits.queue), m_isolated(isolatedLimits(limits.queue)), m_results(limits.results),
       m_containment(limits.crashes)
 { }
 
@@ -88,12 +89,12 @@
 {
     ++m_counts.received;
     const TimePoint end = now + received.request.budget - hopAllowance;
-    const bool hasTarget = m_limits.rejectsEarly && received.request.targetBudget > Duration::zero();
+    const bool hasTarget
+        = m_limits.rejectsEarly && received.request.targetBudget > Duration::zero();
     const TimePoint target = hasTarget ? now + received.request.targetBudget : end;
     // A request that leaves the queue must still have time to run elsewhere, or to be refused.
-    const Duration needed = m_limits.rejectsEarly
-        ? leastTime(received.request.route)
-        : Duration::zero();
+    const Duration needed
+        = m_limits.rejectsEarly ? leastTime(received.request.route) : Duration::zero();
     const Digest fingerprint = fingerprintOf(received.request.content);
     admit({ received.link, std::move(received.request), end - needed, fingerprint, end, target },
           now, outbox);
@@ -134,11 +135,10 @@
     if (!canFinish(work, now))
         return NotRun { NotRunReason::DeadlinePassed };
     const Duration wait = expectedWait(work);
-    const Duration needed = wait + m_serviceTimes.usual(request.route);
-    if (work.end - now < needed)
+    if (work.end - now < wait + m_serviceTimes.usual(request.route))
         return NotRun { NotRunReason::Overloaded, wait };
     // Slow is better than refused, as long as it does not make the others slow as well.
-    if (m_limits.rejectsEarly && work.target - now < needed && m_late.size() >= m_slots)
+    if (missesTarget(work, now) && m_late.size() >= m_slots)
         return NotRun { NotRunReason::Overloaded, wait };
     return std::nullopt;
 }
@@ -150,11 +150,17 @@
     return m_limits.rejectsEarly ? usual * latestStartPercent / 100 : usual;
 }
 
+// Whether the request would be answered after its target if it took its turn.
+bool Gate::missesTarget(const GateWork &work, TimePoint now) const
+{
+    return m_limits.rejectsEarly
+        && work.target - now < expectedWait(work) + m_serviceTimes.usual(work.request.route);
+}
+
 // Whether an answer within the target can no longer be expected.
 bool Gate::isLate(const GateWork &work, TimePoint now) const
 {
-    return m_limits.rejectsEarly
-        && work.target - now < leastTime(work.request.route);
+    return m_limits.rejectsEarly && work.target - now < leastTime(work.request.route);
 }
 
 // The next request to start: one that can meet its target, else one that is late anyway.
@@ -213,7 +219,7 @@
     if (standing == CrashContainment::Standing::Quarantined)
         return refuse(work, NotRunReason::Quarantined, now, outbox);
     GateQueue &queue = standing == CrashContainment::Standing::Suspect ? m_isolated
-        : isLate(work, now)                                            ? m_late
+        : missesTarget(work, now)                                      ? m_late
                                                                        : m_queue;
     const auto shed = queue.push(std::move(work));
     m_counts.shed += shed.size();
@@ -514,7 +520,8 @@
 GateLoad Gate::load() const noexcept
 {
     return { static_cast<std::uint32_t>(m_running.size()),
-             static_cast<std::uint32_t>(m_queue.size() + m_late.size() + m_isolated.size()), m_slots };
+             static_cast<std::uint32_t>(m_queue.size() + m_late.size() + m_isolated.size()),
+             m_slots };
 }
 
 void Gate::reportIfDrained(Outbox<Output> &outbox)
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -232,8 +232,8 @@
 void BasicRouter<Policy>::wait(PendingRequest &pending, TimePoint notBefore, TimePoint now,
                                Outbox<Output> &outbox)
 {
-    const auto shed = m_queue.push({ pending.request.id, pending.serviceName, pending.weight(),
-                                     pending.deadline, notBefore });
+    const auto shed = m_queue.push(
+        { pending.request.id, pending.serviceName, pending.weight(), pending.deadline, notBefore });
     if (!shed)
         return;
     ++m_counts.shed;
@@ -272,16 +272,15 @@
 {
     const bool isOwnRetry = pending.attempts > 0;
     if (!isOwnRetry && pending.isFirstOfChain())
-        m_retries.deposit(pending.serviceName, pending.request.depth,
-                          pending.service->retryBudget);
+        m_retries.deposit(pending.serviceName, pending.request.depth, pending.service->retryBudget);
     ++pending.attempts;
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
     const RequestId forwardId(m_nextForward++);
-    pending.current = PendingRequest::Current {
-        forwardId, { endpoint.peer, endpoint.instance, endpoint.version, endpoint.domain, now },
-        m_placement.isElsewhere(endpoint)
-    };
+    pending.current = PendingRequest::Current { forwardId,
+                                                { endpoint.peer, endpoint.instance,
+                                                  endpoint.version, endpoint.domain, now },
+                                                m_placement.isElsewhere(endpoint) };
     pending.lastTarget = endpoint.instance;
     pending.wasSpilled = pending.current->isSpilled;
     pending.placement.version.reset(); // each attempt draws anew
@@ -410,7 +409,8 @@
 {
     const auto found = m_requests.find(guestId);
     outcome = found->second.overallOutcome(std::move(outcome));
-    if (auto *notRun = std::get_if<NotRun>(&outcome); notRun != nullptr && !isFinal(notRun->reason))
+    auto *notRun = std::get_if<NotRun>(&outcome);
+    if (notRun != nullptr && !m_options.waitsForRoom && !isFinal(notRun->reason))
         notRun->retryAfter = returnAfter(found->second, *notRun, now);
     if (std::holds_alternative<Answered>(outcome))
         ++m_counts.answered;
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -6,6 +6,7 @@
 #include <camphorreach/impl/adminendpoint.h>
 #include <camphorreach/impl/backendendpoint.h>
 #include <camphorreach/impl/decisionlog.h>
+#include <camphorreach/impl/event.h>
 #include <camphorreach/impl/guestendpoint.h>
 #include <camphorreach/impl/movesjson.h>
 #include <camphorreach/impl/peerendpoint.h>
@@ -17,7 +18,6 @@
 #include <camphorreach/stage.h>
 
 #include <boost/json.hpp>
-#include <future>
 #include <random>
 #include <utility>
 
@@ -127,7 +127,7 @@
     impl::BackendEndpoint m_backend;
     impl::PlatformEndpoint m_platform;
     impl::AdminEndpoint m_admin;
-    std::promise<void> m_gateDrained; // set once, by the gate's thread
+    impl::Event m_gateDrained; // set by the gate's thread
 };
 
 Node::Impl::Impl(const NodeSettings &settings)
@@ -242,34 +242,32 @@
 
 void Node::Impl::onRouterOutput(Router::Output &&output)
 {
-    std::visit(Overloaded {
-                   [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](RouterDecision &decision) {
-                       m_routerLog.write(decision, SteadyClock().now());
-                   },
-                   [this](RequestSample &sample) {
-                       // The router never waits for another stage, so that no cycle can form.
-                       if (!m_moves.ring().tryPush(std::move(sample)))
-                           m_samplesDropped.add();
-                   },
-               },
-               output);
+    std::visit(
+        Overloaded {
+            [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
+            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+            [this](RouterDecision &decision) { m_routerLog.write(decision, SteadyClock().now()); },
+            [this](RequestSample &sample) {
+                // The router never waits for another stage, so that no cycle can form.
+                if (!m_moves.ring().tryPush(std::move(sample)))
+                    m_samplesDropped.add();
+            },
+        },
+        output);
 }
 
 void Node::Impl::onGateOutput(Gate::Output &&output)
 {
-    std::visit(Overloaded {
-                   [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
-                   [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
-                   [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](GateDrained &) { m_gateDrained.set_value(); },
-                   [this](GateDecision &decision) {
-                       m_gateLog.write(decision, SteadyClock().now());
-                   },
-               },
-               output);
+    std::visit(
+        Overloaded {
+            [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
+            [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
+            [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
+            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+            [this](GateDrained &) { m_gateDrained.set(); },
+            [this](GateDecision &decision) { m_gateLog.write(decision, SteadyClock().now()); },
+        },
+        output);
 }
 
 void Node::Impl::onMembershipOutput(Membership::Output &&output)
@@ -397,17 +395,14 @@
     m_membership.ring().push(DrainStarted {});
     m_gate.ring().push(DrainStarted {});
     m_router.ring().push(DrainStarted {});
-    const auto waitFor = [end](std::future<void> &&closed) {
-        return closed.wait_for(end - SteadyClock().now()) == std::future_status::ready;
-    };
-    auto guestsClosed = std::make_shared<std::promise<void>>();
-    m_guests.drain(drainGrace, [guestsClosed] { guestsClosed->set_value(); });
-    bool isWhole = waitFor(guestsClosed->get_future());
-    isWhole = waitFor(m_gateDrained.get_future()) && isWhole;
+    const auto guestsClosed = std::make_shared<impl::Event>();
+    m_guests.drain(drainGrace, [guestsClosed] { guestsClosed->set(); });
+    bool isWhole = guestsClosed->waitUntil(end);
+    isWhole = m_gateDrained.waitUntil(end) && isWhole;
     // Links close last: each waits for the answers to all requests on it.
-    auto peersClosed = std::make_shared<std::promise<void>>();
-    m_peers.drain([peersClosed] { peersClosed->set_value(); });
-    isWhole = waitFor(peersClosed->get_future()) && isWhole;
+    const auto peersClosed = std::make_shared<impl::Event>();
+    m_peers.drain([peersClosed] { peersClosed->set(); });
+    isWhole = peersClosed->waitUntil(end) && isWhole;
     if (!isWhole)
         m_log.warning("The time limit of the drain has passed with work left.");
     m_membership.ring().push(NodeLeaving {});
--- /dev/null
+++ b/tests/catalogtest.cpp
@@ -0,0 +1,214 @@
+// Tests of a node that follows the platform's store.
+#include <camphorreach/catalog.h>
+#include <camphorreach/result.h>
+
+#include <catch2/catch.hpp>
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CatalogFixture
+{
+protected:
+    static Endpoint endpoint(const std::string &name, std::uint16_t port)
+    {
+        Endpoint result;
+        result.instance = InstanceId(name);
+        result.peer = { "127.0.0.1", port };
+        result.domain = FailureDomain("arima");
+        result.service = ServiceName("orders");
+        return result;
+    }
+    static std::shared_ptr<const MeshConfig> config(std::uint64_t version)
+    {
+        MeshConfig result;
+        result.version = ConfigVersion(version);
+        HostRoute route;
+        route.host = "a.example";
+        route.policy.prefix = "/stock/";
+        route.parts.push_back({ ServiceName("orders"), 1 });
+        result.routes.push_back(route);
+        result.services.push_back({ ServiceName("orders"), 10 });
+        return std::make_shared<const MeshConfig>(std::move(result));
+    }
+    static StoreEntries entries(StoreValue value, std::uint64_t at)
+    {
+        return { { { "main", ObjectVersion(at), false, std::move(value) } }, ObjectVersion(at) };
+    }
+
+    CatalogFixture()
+    {
+        auto table = std::make_shared<EndpointTable>();
+        table->services[ServiceName("orders")] = { endpoint("a", 1), endpoint("b", 2) };
+        process(EndpointsChanged { table });
+    }
+
+    template <typename Input>
+    void process(Input input)
+    {
+        Outbox<Catalog::Output> outbox;
+        catalog.process(std::move(input), now, outbox);
+        collect(outbox);
+    }
+    void pass(Duration step)
+    {
+        now += step;
+        Outbox<Catalog::Output> outbox;
+        catalog.advance(now, outbox);
+        collect(outbox);
+    }
+    void collect(Outbox<Catalog::Output> &outbox)
+    {
+        for (auto &output : outbox.take()) {
+            std::visit(Overloaded {
+                           [&](StoreCall &call) { calls.push_back(call); },
+                           [&](PeerSend &send) { sends.push_back(std::move(send)); },
+                           [&](SnapshotChanged &changed) {
+                               versions.push_back(changed.snapshot->version.value());
+                           },
+                           [&](OrdersChanged &changed) { orders = changed.orders; },
+                           [&](JoinPeers &join) { joined = join.peers; },
+                       },
+                       output);
+        }
+    }
+    // The latest call of a kind of operation.
+    template <typename Operation>
+    [[nodiscard]] const StoreCall *lastCall(StoreKind kind) const
+    {
+        for (auto call = calls.rbegin(); call != calls.rend(); ++call) {
+            const auto *operation = std::get_if<Operation>(&call->operation);
+            if (operation != nullptr && operation->kind == kind)
+                return &*call;
+        }
+        return nullptr;
+    }
+    void answer(const StoreCall *call, StoreResult result)
+    {
+        REQUIRE(call != nullptr);
+        process(StoreReply { call->id, std::move(result) });
+    }
+    // The answer to the latest update or advert that was sent to a peer.
+    template <typename Message>
+    [[nodiscard]] const Message *lastSent() const
+    {
+        for (auto send = sends.rbegin(); send != sends.rend(); ++send) {
+            const auto *catalogMessage = std::get_if<CatalogMessage>(&send->message);
+            const auto *found
+                = catalogMessage != nullptr ? std::get_if<Message>(catalogMessage) : nullptr;
+            if (found != nullptr)
+                return found;
+        }
+        return nullptr;
+    }
+
+    RandomSource random { 1 };
+    Catalog catalog { endpoint("a", 1), {}, random };
+    TimePoint now { seconds(100) };
+    std::vector<StoreCall> calls;
+    std::vector<PeerSend> sends;
+    std::vector<std::uint64_t> versions;
+    std::vector<RolloutOrder> orders;
+    std::vector<NetAddress> joined;
+};
+
+// Guards against a node that lists the store again and again, or misses what changes after the
+// list.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_configurationListed_isFollowedFromThere")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    CHECK(versions == std::vector<std::uint64_t> { 3 });
+    const StoreCall *follow = lastCall<StoreFollow>(StoreKind::Configuration);
+    REQUIRE(follow != nullptr);
+    CHECK(std::get<StoreFollow>(follow->operation).since == ObjectVersion(40));
+    answer(follow, entries(config(7), 44));
+    CHECK(versions == std::vector<std::uint64_t> { 3, 7 });
+}
+
+// Guards against an older version that comes late, from the store or from a peer.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_olderConfiguration_isNeverInForce")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    answer(lastCall<StoreFollow>(StoreKind::Configuration), entries(config(6), 45));
+    CHECK(versions == std::vector<std::uint64_t> { 7 });
+    CHECK(catalog.version() == ConfigVersion(7));
+}
+
+// Guards against a node that stays behind because the history it followed is gone.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_historyGone_listsAgainAtOnce")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    const std::size_t before = calls.size();
+    answer(lastCall<StoreFollow>(StoreKind::Configuration),
+           StoreRefusal { StoreRefusal::Reason::HistoryGone });
+    REQUIRE(calls.size() == before + 1);
+    CHECK(std::holds_alternative<StoreList>(calls.back().operation));
+}
+
+// Guards against a storm of calls while the store turns this node away.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_storeUnavailable_callsBackOff")
+{
+    std::size_t answered = 0;
+    for (int i = 0; i < 100; ++i) {
+        while (answered < calls.size())
+            process(StoreReply { calls[answered++].id, StoreSilence {} });
+        pass(milliseconds(100));
+    }
+    // Two kinds and the registration in ten seconds, each at most every 600 ms once it backs off.
+    CHECK(calls.size() < 3 * 25);
+    CHECK(catalog.failedCalls() > 0);
+}
+
+// Guards against nodes that are cut off from the store and hear of nothing.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasLess_isSentEverything")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 },
+                                           CatalogAdvert { ConfigVersion(3), {}, false } });
+    const auto *update = lastSent<CatalogUpdate>();
+    REQUIRE(update != nullptr);
+    CHECK(update->config.version == ConfigVersion(7));
+}
+
+TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasMore_isAskedByTheOwnAdvert")
+{
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 },
+                                           CatalogAdvert { ConfigVersion(9), {}, false } });
+    const auto *advert = lastSent<CatalogAdvert>();
+    REQUIRE(advert != nullptr);
+    CHECK(advert->isAnswer);
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(9), {} } });
+    CHECK(versions == std::vector<std::uint64_t> { 9 });
+}
+
+// Guards against unreadable objects of other writers.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_unreadableObject_changesNothing")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(std::monostate {}, 40));
+    CHECK(versions.empty());
+    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) != nullptr);
+}
+
+// Guards against a restarted node that cannot enter itself because its record exists.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_ownRecordExists_isReplaced")
+{
+    const auto isRegister = [](const StoreCall &call) {
+        return std::holds_alternative<StoreRegister>(call.operation);
+    };
+    const auto found = std::find_if(calls.begin(), calls.end(), isRegister);
+    REQUIRE(found != calls.end());
+    process(StoreReply { found->id, StoreRefusal { StoreRefusal::Reason::Conflict } });
+    CHECK(std::holds_alternative<StoreRefresh>(calls.back().operation));
+    process(StoreReply { calls.back().id, StoreWritten { ObjectVersion(50) } });
+    pass(seconds(1));
+    answer(lastCall<StoreList>(StoreKind::Nodes),
+           entries(NodeRecord { InstanceId("b"), { "127.0.0.1", 2 } }, 51));
+    CHECK(joined == std::vector<NetAddress> { { "127.0.0.1", 2 } });
+}
+
+} // namespace
+} // namespace camphorreach
--- /dev/null
+++ b/tests/gatetargettest.cpp
@@ -0,0 +1,116 @@
+// Tests of a gate that turns away what cannot meet its target.
+#include "gatefixture.h"
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+class GateTargetFixture : public GateFixture
+{
+protected:
+    static Gate::Limits earlyLimits()
+    {
+        Gate::Limits limits = defaultLimits();
+        limits.queue.count = 100;
+        limits.needsAnnouncement = true;
+        limits.rejectsEarly = true;
+        return limits;
+    }
+
+    GateTargetFixture() : GateFixture(earlyLimits()) { process(announced()); }
+
+    static BackendAnnounced announced(bool isAccepting = true)
+    {
+        return {
+            InstanceId("i-1"), ServiceName("orders"), BackendVersion("v1"), 2, isAccepting, {}
+        };
+    }
+
+    static ForwardRequest targeted(std::uint64_t id, Duration target, std::uint32_t weight = 1)
+    {
+        ForwardRequest result = request(id);
+        result.service = ServiceName("orders");
+        result.version = BackendVersion("v1");
+        result.kindWeight = weight;
+        result.targetBudget = target;
+        result.budget = milliseconds(1000);
+        return result;
+    }
+
+    // Ten answers of 100 ms each, so that the gate knows the usual time.
+    void learn()
+    {
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+            send(targeted(id, milliseconds(500)));
+            pass(milliseconds(100));
+            answer(id);
+        }
+    }
+};
+
+// Guards against work for a server that has not said that it takes any.
+TEST_CASE_METHOD(GateTargetFixture, "GateTarget_serverStopsAccepting_queuedWorkIsGivenBack")
+{
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        send(targeted(id, milliseconds(500)));
+    CHECK(handedOver() == Ids { 1, 2 });
+    process(announced(false));
+    CHECK(outcomeOf(3) == "not-run draining");
+    send(targeted(4, milliseconds(500)));
+    CHECK(outcomeOf(4) == "not-run draining");
+    CHECK(handedOver() == Ids { 1, 2 });
+}
+
+// Guards against requests that run at another service or version than they were sent for.
+TEST_CASE_METHOD(GateTargetFixture, "GateTarget_requestForAnotherVersion_isNotRun")
+{
+    ForwardRequest other = targeted(1, milliseconds(500));
+    other.version = BackendVersion("v2");
+    send(other);
+    CHECK(outcomeOf(1) == "not-run draining");
+    CHECK(handedOver().empty());
+}
+
+// Guards against a queue in which everybody is late: the load is twice what the slots can serve.
+TEST_CASE_METHOD(GateTargetFixture, "GateTarget_overload_refusesAtOnceAndAnswersTheRestInTime")
+{
+    learn();
+    std::uint64_t id = 100;
+    std::uint64_t refusedAtOnce = 0;
+    for (int i = 0; i < 40; ++i) {
+        send(targeted(++id, milliseconds(250)));
+        refusedAtOnce += outcomeOf(id).starts_with("not-run") ? 1 : 0;
+    }
+    CHECK(refusedAtOnce >= 30);
+    CHECK(gate.load().queued <= 8);
+}
+
+// Guards against a less urgent request that runs before a more urgent one.
+TEST_CASE_METHOD(GateTargetFixture, "GateTarget_higherWeight_runsFirst")
+{
+    learn();
+    send(targeted(21, milliseconds(400)));
+    send(targeted(22, milliseconds(400)));
+    send(targeted(23, milliseconds(400), 1));
+    send(targeted(24, milliseconds(400), 5));
+    pass(milliseconds(100));
+    answer(11);
+    CHECK(handedOver().back() == 24);
+    CHECK(outcomeOf(23) == "none");
+}
+
+// Guards against requests that leave the queue when it is too late to run them elsewhere.
+TEST_CASE_METHOD(GateTargetFixture, "GateTarget_waitTooLong_isGivenBackWithTimeLeft")
+{
+    learn();
+    send(targeted(21, milliseconds(400)));
+    send(targeted(22, milliseconds(400)));
+    send(targeted(23, milliseconds(400)));
+    REQUIRE(outcomeOf(23) == "none");
+    pass(milliseconds(940));
+    CHECK(outcomeOf(23) == "not-run deadline-passed");
+}
+
+} // namespace
+} // namespace camphorreach
--- /dev/null
+++ b/tests/platformtest.cpp
@@ -0,0 +1,215 @@
+// Tests of the platform's names and formats: each message is decoded into the project's types.
+#include "../platform/announcements.h"
+#include "../platform/requests.h"
+#include "../platform/store.h"
+
+#include <camphorreach/result.h>
+
+#include <catch2/catch.hpp>
+
+namespace camphorreach {
+namespace {
+
+using impl::HttpRequest;
+using impl::HttpResponse;
+
+class PlatformFixture
+{
+protected:
+    static HttpRequest clientRequest()
+    {
+        return { "POST",
+                 "/stock/7?x=1",
+                 { { "Host", "a.example" },
+                   { "X-Camphorreach-Attempt-Id", "9c41" },
+                   { "x-camphorreach-deadline-ms", "1500" },
+                   { "X-Camphorreach-Caller-Service", "forged" },
+                   { "Connection", "keep-alive, X-Hop" },
+                   { "X-Hop", "1" },
+                   { "Accept", "*/*" } },
+                 "body" };
+    }
+    static GuestRequest decoded(HttpRequest http)
+    {
+        return std::get<GuestRequest>(
+            platform::ClientDialect().decode(RequestId(1), std::move(http)));
+    }
+    static StoreResult reply(StoreOperation operation, std::uint16_t status, std::string body)
+    {
+        const StoreCall call { StoreCallId(1), std::move(operation) };
+        return platform::StoreCodec()
+            .toReply(call, HttpResponse { status, {}, std::move(body) })
+            .result;
+    }
+    static impl::LocalMessage announced(const std::string &body, const std::string &method = "PUT")
+    {
+        return platform::decodeAnnouncement({ method, "/camphorreach/instances/i-1", {}, body });
+    }
+
+    static constexpr const char *configBody = R"({"items":[{"metadata":{"name":"main","revision":9},
+        "spec":{"version":7,"routes":{"columns":["name","host","path_prefix","route_kind",
+        "timeout_ms","target_latency_ms","priority","service","max_attempts","traffic_split"],
+        "rows":[["r-1","a.example","/bags/","non_idempotent",1000,500,1,"orders",2,null],
+        ["r-2","a.example","/stock/","idempotent",800,400,2,null,2,
+        [{"service":"orders","weight":90},{"service":"trucks","weight":10}]]]},
+        "services":{"columns":["name","health_path","max_connections","protocol","tls"],
+        "rows":[["orders","/health",110,"h1",false],["trucks","/health",110,"h1",false]]},
+        "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000}},"status":null}],"has_more":false,"at_rev":12})";
+};
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_clientRequest_keepsWhatIsTheGuestsOnly")
+{
+    const GuestRequest request = decoded(clientRequest());
+    CHECK(request.attemptId == GuestAttemptId("9c41"));
+    CHECK(request.budget == std::chrono::milliseconds(1500));
+    CHECK(request.content.host == "a.example");
+    CHECK(request.content.target == "/stock/7?x=1");
+    CHECK(request.content.headers == HeaderFields { { "Accept", "*/*" } });
+    CHECK(request.caller == ServiceName()); // set by the node, whatever was sent
+}
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_callToServer_carriesTheNodesOwnFields")
+{
+    BackendCall call;
+    call.request.content = decoded(clientRequest()).content;
+    call.request.attemptId = GuestAttemptId("9c41");
+    call.request.caller = ServiceName("orders");
+    call.request.budget = std::chrono::microseconds(900'700);
+    call.server = InstanceId("i-1");
+    const HttpRequest http = platform::ServerDialect().encode(std::move(call));
+    CHECK(http.header("Host") == "a.example");
+    CHECK(http.header("X-Camphorreach-Deadline-Ms") == "900");
+    CHECK(http.header("X-Camphorreach-Caller-Service") == "orders");
+    CHECK(http.header("X-Camphorreach-Target-Instance") == "i-1");
+    CHECK(http.header("X-Camphorreach-Attempt-Id") == "9c41");
+}
+
+// Guards against "not run" without proof, and against an answer that loses its signature.
+TEST_CASE_METHOD(PlatformFixture, "Platform_serverAnswer_isRefusalOnlyWhereItSaysSo")
+{
+    const platform::ServerDialect dialect;
+    const HttpResponse shed { 503, { { "X-Camphorreach-Not-Executed", "1" } }, "" };
+    CHECK(std::get<BackendFailure>(dialect.decode(HttpResponse(shed))) == BackendFailure::Refused);
+    CHECK(std::get<BackendFailure>(dialect.decode(HttpResponse { 421, {}, "" }))
+          == BackendFailure::Refused);
+    const HttpResponse failed { 503, { { "X-Camphorreach-Response-Seal", "3e1b" } }, "x" };
+    const auto answered = std::get<Answered>(dialect.decode(HttpResponse(failed)));
+    CHECK(answered.status == 503);
+    CHECK(answered.headers == HeaderFields { { "X-Camphorreach-Response-Seal", "3e1b" } });
+}
+
+// Guards against a late answer to an earlier request that is taken for the next one's.
+TEST_CASE_METHOD(PlatformFixture, "Platform_answerWithAnotherId_isForeign")
+{
+    const auto isOwn = platform::ServerDialect().clientOptions().isOwnAnswer;
+    const HttpRequest request { "GET", "/", { { "X-Camphorreach-Attempt-Id", "a" } }, "" };
+    const auto answer = [](std::uint16_t status, HeaderFields fields) {
+        return HttpResponse { status, std::move(fields), "" };
+    };
+    CHECK(isOwn(request, answer(200, { { "X-Camphorreach-Attempt-Id", "a" } })));
+    CHECK_FALSE(isOwn(request, answer(200, { { "X-Camphorreach-Attempt-Id", "b" } })));
+    CHECK_FALSE(isOwn(request, answer(200, {})));
+    CHECK(isOwn(request, answer(421, {})));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_outcomes_haveTruthfulStatusCodes")
+{
+    const platform::ClientDialect dialect;
+    const GuestAttemptId id("a");
+    CHECK(dialect.encode(NotRun { NotRunReason::NoRoute }, id).status == 404);
+    CHECK(dialect.encode(NotRun { NotRunReason::NoConfiguration }, id).status == 503);
+    const auto refused
+        = dialect.encode(NotRun { NotRunReason::Overloaded, std::chrono::milliseconds(125) }, id);
+    CHECK(refused.status == 503);
+    CHECK(refused.header("Retry-After") == "0.125");
+    CHECK(dialect.encode(OutcomeUnknown { UnknownReason::DeadlinePassed }, id).status == 504);
+    CHECK(dialect.encode(OutcomeUnknown { UnknownReason::BackendServerLost }, id).status == 502);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_configuration_isDecodedWhole")
+{
+    const auto entries
+        = std::get<StoreEntries>(reply(StoreList { StoreKind::Configuration }, 200, configBody));
+    CHECK(entries.at == ObjectVersion(12));
+    const auto config = std::get<std::shared_ptr<const MeshConfig>>(entries.entries.at(0).value);
+    CHECK(config->version == ConfigVersion(7));
+    REQUIRE(config->routes.size() == 2);
+    const HostRoute &bags = config->routes[0];
+    CHECK_FALSE(bags.policy.isIdempotent);
+    CHECK(bags.policy.deadline == std::chrono::seconds(1));
+    CHECK(bags.policy.targetLatency == std::chrono::milliseconds(500));
+    CHECK(bags.policy.maxAttempts == 2);
+    CHECK(bags.policy.kindWeight > config->routes[1].policy.kindWeight);
+    CHECK(config->routes[1].parts
+          == std::vector<TrafficPart> { { ServiceName("orders"), 90 },
+                                        { ServiceName("trucks"), 10 } });
+    CHECK(config->limits.headerTimeout == std::chrono::seconds(3));
+    CHECK(config->services.at(0).maxConnections == 110);
+}
+
+// Guards against an object of another writer that stops the node from reading the others.
+TEST_CASE_METHOD(PlatformFixture, "Platform_unreadableObject_isOneEmptyEntry")
+{
+    const auto entries = std::get<StoreEntries>(
+        reply(StoreFollow { StoreKind::Rollouts }, 200,
+              R"({"events":[{"removed":false,"object":{"metadata":{"name":"x","revision":3},
+              "spec":{"service":5}}},{"removed":false,"object":{"metadata":{"name":"orders",
+              "revision":4},"spec":{"service":"orders","target_version":"v2","ramp_s":12},
+              "status":{"state":"completed","target_version":"v1"}}}],"at_rev":4})"));
+    REQUIRE(entries.entries.size() == 2);
+    CHECK(std::holds_alternative<std::monostate>(entries.entries[0].value));
+    const auto order = std::get<RolloutOrder>(entries.entries[1].value);
+    CHECK(order.target == BackendVersion("v2"));
+    CHECK(order.ramp == std::chrono::seconds(12));
+    CHECK(order.state == RolloutState::Requested); // the status is of an earlier order
+    CHECK(order.version == ObjectVersion(4));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_storeStatus_saysWhatMayHaveHappened")
+{
+    using Reason = StoreRefusal::Reason;
+    const auto reasonOf = [](std::uint16_t status) {
+        return std::get<StoreRefusal>(reply(StoreRegister {}, status, "")).reason;
+    };
+    CHECK(reasonOf(409) == Reason::Conflict);
+    CHECK(reasonOf(429) == Reason::Throttled);
+    CHECK(reasonOf(503) == Reason::Unavailable);
+    CHECK(std::get<StoreRefusal>(reply(StoreFollow {}, 410, "")).reason == Reason::HistoryGone);
+    CHECK(std::get<StoreSilence>(reply(StoreRegister {}, 500, "")).mayHaveTakenEffect);
+    CHECK_FALSE(std::get<StoreSilence>(reply(StoreList {}, 500, "")).mayHaveTakenEffect);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "Platform_heartbeat_isDecoded")
+{
+    const auto message = announced(R"({"address":"10.0.0.9:80","born":1700,"server_info":
+        {"service":"orders","version":"v1","zone":"arima","slots":6},
+        "status":{"state":"draining","sequence":4,"warmup_left_ms":50}})");
+    const auto &announcement = std::get<BackendAnnouncement>(message);
+    CHECK(announcement.server == InstanceId("i-1"));
+    CHECK(announcement.born == BackendBirth(1700));
+    CHECK(announcement.number == AnnouncementNumber(4));
+    CHECK(announcement.address == NetAddress { "10.0.0.9", 80 });
+    CHECK(announcement.slots == 6);
+    CHECK(announcement.isDraining);
+    CHECK(std::holds_alternative<BackendDeparture>(announced("", "DELETE")));
+}
+
+// Guards against heartbeats of other writers: missing fields, other types, unknown words, no JSON.
+TEST_CASE_METHOD(PlatformFixture, "Platform_forgedHeartbeat_isRefused")
+{
+    for (const char *body :
+         { "", "{", "[]", R"({"address":"10.0.0.9:80"})",
+           R"({"address":"10.0.0.9:80","server_info":{"service":"orders","version":"v1",
+               "zone":"a","slots":6},"status":{"state":"asleep","sequence":4,
+               "warmup_left_ms":0}})",
+           R"({"address":"10.0.0.9:80","server_info":{"service":7,"version":"v1","zone":"a",
+               "slots":6},"status":{"state":"ready","sequence":4,"warmup_left_ms":0}})",
+           R"({"address":"10.0.0.9:80","server_info":{"service":"orders","version":"v1",
+               "zone":"a","slots":-6},"status":{"state":"ready","sequence":4,
+               "warmup_left_ms":0}})" })
+        CHECK(std::holds_alternative<Error>(announced(body)));
+}
+
+} // namespace
+} // namespace camphorreach
