--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -4,6 +4,7 @@
 #include <camphorreach/crashcontainment.h>
 #include <camphorreach/decision.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/fairshare.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/gatequeue.h>
 #include <camphorreach/peermessage.h>
@@ -49,11 +50,12 @@
     struct Limits
     {
         std::uint32_t slots = 1;
-        /// Nothing is handed over before the backend server has announced itself. Its slots, service
-        /// and version are then as announced.
+        /// Nothing is handed over before the backend server has announced itself. Its slots,
+        /// service and version are then as announced.
         bool needsAnnouncement = false;
         /// A request that could not be answered within its target is refused at once, but for a few
-        /// that wait for idle slots; one that waits leaves while it can still be answered elsewhere.
+        /// that wait for idle slots; one that waits leaves while it can still be answered
+        /// elsewhere.
         bool rejectsEarly = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
@@ -136,6 +138,7 @@
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
+    FairShare m_shares;
     std::vector<GateWork> m_shed; // by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots, and only one while m_alone is set
     std::optional<CallId> m_alone; // the suspect that runs alone
--- a/include/camphorreach/gatequeue.h
+++ b/include/camphorreach/gatequeue.h
@@ -11,6 +11,9 @@
 
 namespace camphorreach {
 
+/// Place in the order of fair queueing: service time in microseconds, divided by weight.
+using FairTag = Strong<struct FairTagTag, std::int64_t>;
+
 /// A request at a gate, and the link on which its answer goes back.
 struct GateWork
 {
@@ -19,14 +22,15 @@
     TimePoint deadline {}; ///< When it leaves the queue at the latest.
     Digest fingerprint; ///< Of the request's content.
     TimePoint end {}; ///< When its answer is due at the latest.
-    TimePoint target {}; ///< Until when its answer earns the full credit; orders the queue.
+    TimePoint target {}; ///< Until when its answer earns the full credit.
+    FairTag tag; ///< Its turn, where routes share the slots by weight.
 };
 
 /// Bytes that a request occupies while it waits, its own structure included.
 [[nodiscard]] std::size_t sizeOf(const GateWork &work) noexcept;
 
-/// Orders requests by the weight of their kind, then by target. When it is full, the request of
-/// the lowest weight with the latest deadline leaves.
+/// Orders requests by the weight of their kind, then by target; or by their fair tags. When it is
+/// full, the request of the lowest weight with the latest deadline leaves.
 class GateQueue
 {
 public:
@@ -34,6 +38,7 @@
     {
         std::size_t count = 256;
         std::size_t bytes = std::size_t { 8 } * 1024 * 1024;
+        bool isFair = false; ///< Ordered by tags alone.
     };
 
     explicit GateQueue(Limits limits) : m_limits(limits) { }
@@ -64,6 +69,7 @@
     // Sorts the request that runs first to the front, and the one that is shed first to the back.
     struct Place
     {
+        FairTag tag;
         std::uint32_t weight = 0;
         TimePoint target {};
         TimePoint deadline {};
@@ -73,6 +79,7 @@
     };
     using Entries = std::map<Place, GateWork>;
 
+    [[nodiscard]] Place placeOf(const GateWork &work, std::uint64_t sequence) const noexcept;
     GateWork take(Entries::iterator entry);
     template <typename Predicate>
     std::vector<GateWork> takeIf(Predicate &&isMeant);
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -13,6 +13,7 @@
 #include <camphorreach/request.h>
 #include <camphorreach/requestsample.h>
 #include <camphorreach/retrybudget.h>
+#include <camphorreach/routebytes.h>
 #include <camphorreach/routelatency.h>
 #include <camphorreach/snapshot.h>
 #include <camphorreach/waitqueue.h>
@@ -57,6 +58,9 @@
         /// Otherwise they wait at gates only, and what no gate takes is refused at once.
         bool waitsForRoom = true;
         std::uint32_t maxRefusals = 3; ///< Gates that are asked when requests do not wait here.
+        /// A request whose route usually moves more bytes than this for each unit of its weight
+        /// stays in its failure domain while that has a server; zero lets all leave.
+        ByteCount spillBytesPerWeight {};
         RetryBudget::Limits retries {};
     };
 
@@ -89,8 +93,7 @@
 
     void place(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool tryPlace(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
-    void wait(PendingRequest &pending, TimePoint notBefore, TimePoint now,
-              Outbox<Output> &outbox);
+    void wait(PendingRequest &pending, TimePoint notBefore, TimePoint now, Outbox<Output> &outbox);
     void dispatch(const ServiceName &service, TimePoint now, Outbox<Output> &outbox);
     void dispatchAll(TimePoint now, Outbox<Output> &outbox);
     void send(PendingRequest &pending, const Endpoint &endpoint, TimePoint now,
@@ -111,6 +114,7 @@
                 Outbox<Output> &outbox) const;
     void expire(RequestId guestId, TimePoint now, Outbox<Output> &outbox);
 
+    [[nodiscard]] bool maySpill(const PendingRequest &pending) const;
     [[nodiscard]] bool isTooLate(const PendingRequest &pending, TimePoint now) const;
     [[nodiscard]] Duration backoff(std::uint32_t refusals);
     [[nodiscard]] Duration returnAfter(const PendingRequest &pending, const NotRun &notRun,
@@ -123,6 +127,7 @@
     Placement<Policy> m_placement;
     RetryBudget m_retries;
     RouteLatency m_latencies;
+    RouteBytes m_bytes;
     WaitQueue m_queue; // requests without a current attempt
     std::unordered_map<RequestId, PendingRequest> m_requests; // by guest id; at most m_maxInFlight
     std::unordered_map<RequestId, RequestId> m_forwards; // current forward id to guest id
--- a/src/filters/configuration/meshconfig.cpp
+++ b/src/filters/configuration/meshconfig.cpp
@@ -4,7 +4,8 @@
 namespace camphorreach {
 namespace {
 
-constexpr std::uint32_t highestWeight = 100;
+// Weights are shares of service time, so the lowest rank still gets its part.
+constexpr std::uint32_t highestWeight = 4;
 
 } // namespace
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -96,8 +96,9 @@
     const Duration needed
         = m_limits.rejectsEarly ? leastTime(received.request.route) : Duration::zero();
     const Digest fingerprint = fingerprintOf(received.request.content);
-    admit({ received.link, std::move(received.request), end - needed, fingerprint, end, target },
-          now, outbox);
+    admit(
+        { received.link, std::move(received.request), end - needed, fingerprint, end, target, {} },
+        now, outbox);
 }
 
 void Gate::admit(GateWork &&work, TimePoint now, Outbox<Output> &outbox)
@@ -183,7 +184,12 @@
 {
     if (m_running.size() < m_slots)
         return Duration::zero();
-    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(work)) + 1;
+    GateWork placed;
+    placed.request.kindWeight = work.request.kindWeight;
+    placed.target = work.target;
+    placed.deadline = work.deadline;
+    placed.tag = m_shares.nextTag(work.request.route);
+    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(placed)) + 1;
     return m_serviceTimes.overall() * ahead / static_cast<Duration::rep>(m_slots);
 }
 
@@ -218,6 +224,8 @@
     const auto standing = m_containment.standingOf(work.fingerprint, now);
     if (standing == CrashContainment::Standing::Quarantined)
         return refuse(work, NotRunReason::Quarantined, now, outbox);
+    work.tag = m_shares.tagFor(work.request.route, work.request.kindWeight,
+                               m_serviceTimes.usual(work.request.route));
     GateQueue &queue = standing == CrashContainment::Standing::Suspect ? m_isolated
         : missesTarget(work, now)                                      ? m_late
                                                                        : m_queue;
@@ -437,6 +445,7 @@
         refuse(work, NotRunReason::DeadlinePassed, now, outbox);
         return false;
     }
+    m_shares.onStarted(work.tag);
     const CallId id(m_nextCall++);
     work.request.budget = work.end - now;
     ++m_counts.handedOver;
--- a/src/filters/requests/gatequeue.cpp
+++ b/src/filters/requests/gatequeue.cpp
@@ -12,18 +12,25 @@
     const ForwardRequest &request = work.request;
     const RequestContent &content = request.content;
     return sizeof(GateWork) + content.method.size() + content.target.size()
-        + content.contentType.size() + content.body.size() + content.host.size() + request.key.value().size();
+        + content.contentType.size() + content.body.size() + content.host.size()
+        + request.key.value().size();
 }
 
 bool GateQueue::Place::operator<(const Place &other) const noexcept
 {
-    return std::tie(other.weight, target, deadline, sequence)
-        < std::tie(weight, other.target, other.deadline, other.sequence);
+    return std::tie(tag, other.weight, target, deadline, sequence)
+        < std::tie(other.tag, weight, other.target, other.deadline, other.sequence);
+}
+
+GateQueue::Place GateQueue::placeOf(const GateWork &work, std::uint64_t sequence) const noexcept
+{
+    const FairTag tag = m_limits.isFair ? work.tag : FairTag();
+    return { tag, work.request.kindWeight, work.target, work.deadline, sequence };
 }
 
 std::vector<GateWork> GateQueue::push(GateWork work)
 {
-    const Place place { work.request.kindWeight, work.target, work.deadline, m_nextSequence++ };
+    const Place place = placeOf(work, m_nextSequence++);
     m_bytes += sizeOf(work);
     m_deadlines.emplace(place.deadline, place.sequence);
     m_places.emplace(place.sequence, place);
@@ -93,9 +100,8 @@
 
 std::size_t GateQueue::countBefore(const GateWork &work) const
 {
-    const Place place { work.request.kindWeight, work.target, work.deadline, m_nextSequence };
-    return static_cast<std::size_t>(
-        std::distance(m_entries.begin(), m_entries.lower_bound(place)));
+    const Place place = placeOf(work, m_nextSequence);
+    return static_cast<std::size_t>(std::distance(m_entries.begin(), m_entries.lower_bound(place)));
 }
 
 std::optional<TimePoint> GateQueue::earliestDeadline() const
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -39,7 +39,6 @@
         foundRoute = foundService->findRoute(request.content.target);
     if (foundRoute == nullptr)
         return false;
-    placement.maySpill = foundRoute->maySpill;
     snapshot = held;
     service = foundService;
     route = foundRoute;
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -192,6 +192,7 @@
 {
     if (!pending.snapshot)
         return false;
+    pending.placement.maySpill = maySpill(pending);
     const IdempotencyKey key = pending.hasHome() ? pending.request.key : IdempotencyKey();
     const auto result = m_placement.place(*pending.service, key, pending.placement, now);
     if (const auto *endpoint = std::get_if<const Endpoint *>(&result)) {
@@ -304,6 +305,9 @@
         emitSample(pending, where, *sample, std::holds_alternative<Answered>(outcome), now, outbox);
     if (sample == SampleResult::Success)
         m_latencies.record(service, pending.route->name, now - where.sentAt);
+    if (const auto *answer = std::get_if<Answered>(&outcome))
+        m_bytes.record(pending.route->name,
+                       ByteCount(pending.request.content.body.size() + answer->body.size()));
     endAttempt(pending, endOf(outcome), now);
 
     if (const auto *notRun = std::get_if<NotRun>(&outcome)) {
@@ -484,6 +488,15 @@
     dispatch(service, now, outbox);
 }
 
+template <BalancingPolicy Policy>
+bool BasicRouter<Policy>::maySpill(const PendingRequest &pending) const
+{
+    const std::uint64_t limit
+        = m_options.spillBytesPerWeight.value() * std::uint64_t { pending.weight() };
+    return pending.route->maySpill
+        && (limit == 0 || m_bytes.usual(pending.route->name).value() <= limit);
+}
+
 // True when a waiting request could only be answered after its deadline.
 template <BalancingPolicy Policy>
 bool BasicRouter<Policy>::isTooLate(const PendingRequest &pending, TimePoint now) const
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -14,6 +14,9 @@
 // a few retries at a time and lets the ratio refill them.
 constexpr double retryBurst = 4.0;
 constexpr double firstRetries = 2.0;
+// Bytes between failure domains are the dearest thing that a request uses; a larger request only
+// leaves its own for lack of servers.
+constexpr ByteCount spillBytesPerWeight { 2000 };
 
 } // namespace
 
@@ -35,6 +38,7 @@
     Gate::Limits limits;
     limits.needsAnnouncement = true;
     limits.rejectsEarly = true;
+    limits.queue.isFair = true;
     limits.crashes.isEnabled = false;
     return limits;
 }
@@ -43,6 +47,7 @@
 {
     MeshRouter::Options options;
     options.waitsForRoom = false;
+    options.spillBytesPerWeight = spillBytesPerWeight;
     options.retries = { firstRetries, retryBurst };
     return options;
 }
