--- a/include/camphorreach/balancing.h
+++ b/include/camphorreach/balancing.h
@@ -83,8 +83,8 @@
     }
 };
 
-/// The candidate whose slots are the least occupied for the time that its answers take, among equals
-/// a random one.
+/// The candidate whose slots are the least occupied for the time that its answers take, among
+/// equals a random one.
 struct LeastOccupied
 {
     static constexpr double coldFactor = 1.5; ///< A cold start about doubles the time of an answer.
--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -57,8 +57,7 @@
     };
 
     void onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
-    void onFollowed(Follower &follower, StoreResult &result, TimePoint now,
-                    Outbox<Output> &outbox);
+    void onFollowed(Follower &follower, StoreResult &result, TimePoint now, Outbox<Output> &outbox);
     void onRegistered(const StoreResult &result, TimePoint now);
     void onEntries(Follower &follower, StoreEntries &entries, TimePoint now,
                    Outbox<Output> &outbox);
--- a/include/camphorreach/impl/backendendpoint.h
+++ b/include/camphorreach/impl/backendendpoint.h
@@ -36,7 +36,7 @@
         } -> std::same_as<HttpClient::Options>;
 };
 
-/// The project's own interface, as docs/operations.md describes it.
+/// The project's own interface, as docs/OPERATIONS.md describes it.
 class OwnBackendDialect
 {
 public:
@@ -96,12 +96,12 @@
         const CallId id = call.id;
         const TimePoint started = SteadyClock().now();
         const Duration timeout = call.request.budget;
-        const auto handle = m_client.send(
-            m_dialect.encode(std::move(call)), timeout, [this, id, started](HttpResult &&result) {
-                m_calls.erase(id);
-                m_latency.record(SteadyClock().now() - started);
-                onResult(id, std::move(result));
-            });
+        const auto handle = m_client.send(m_dialect.encode(std::move(call)), timeout,
+                                          [this, id, started](HttpResult &&result) {
+                                              m_calls.erase(id);
+                                              m_latency.record(SteadyClock().now() - started);
+                                              onResult(id, std::move(result));
+                                          });
         m_calls.emplace(id, handle);
     }
 
--- a/include/camphorreach/impl/guestendpoint.h
+++ b/include/camphorreach/impl/guestendpoint.h
@@ -20,9 +20,8 @@
 /// How guests' requests and their outcomes look in HTTP. A request that cannot be read is answered
 /// at once.
 template <typename D>
-concept GuestDialect
-    = requires(const D &dialect, RequestId id, HttpRequest http, GuestAnswer answer,
-               const GuestAttemptId &attempt)
+concept GuestDialect = requires(const D &dialect, RequestId id, HttpRequest http,
+                                GuestAnswer answer, const GuestAttemptId &attempt)
 {
     {
         dialect.decode(id, std::move(http))
@@ -32,7 +31,7 @@
         } -> std::same_as<HttpResponse>;
 };
 
-/// The project's own interface: "/SERVICE/ROUTE..." and the headers of docs/operations.md.
+/// The project's own interface: "/SERVICE/ROUTE..." and the headers of docs/OPERATIONS.md.
 class ServicePathDialect
 {
 public:
--- a/include/camphorreach/impl/platformendpoint.h
+++ b/include/camphorreach/impl/platformendpoint.h
@@ -14,8 +14,8 @@
 
 /// How calls to a store and their answers look in HTTP.
 template <typename C>
-concept PlatformCodec = requires(const C &codec, const typename C::Call &call,
-                                 const HttpResult &result)
+concept PlatformCodec
+    = requires(const C &codec, const typename C::Call &call, const HttpResult &result)
 {
     typename C::User;
     {
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -56,8 +56,8 @@
 class LocalServer
 {
 public:
-    using Input = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings,
-                               SnapshotChanged>;
+    using Input
+        = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings, SnapshotChanged>;
     using Output = std::variant<BackendAnnounced>;
 
     /// \a silence: without an announcement for so long, the backend server is taken for gone.
@@ -83,7 +83,8 @@
     LocalServerSettings m_settings;
     std::shared_ptr<const Snapshot> m_snapshot; // null until a configuration is held
     const Duration m_silence;
-    std::optional<BackendAnnouncement> m_latest; // of the youngest start; its number never decreases
+    std::optional<BackendAnnouncement>
+        m_latest; // of the youngest start; its number never decreases
     TimePoint m_heardAt {}; // of m_latest
     std::deque<Departed> m_departed; // at most maxDeparted
     std::optional<BackendAnnounced> m_published;
--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -1,4 +1,5 @@
-// The configuration that operators keep in the platform's store: routes, services and limits in full.
+// The configuration that operators keep in the platform's store: routes, services and limits in
+// full.
 #pragma once
 
 #include <camphorreach/ids.h>
--- a/include/camphorreach/placement.h
+++ b/include/camphorreach/placement.h
@@ -29,7 +29,8 @@
 {
     std::optional<BackendVersion> version; ///< Drawn for the next attempt; kept while it waits.
     std::vector<NetAddress> avoided; ///< Targets of failed attempts; at most one for each attempt.
-    bool maySpill = true; ///< Whether full gates of the own failure domain are a reason to leave it.
+    bool maySpill
+        = true; ///< Whether full gates of the own failure domain are a reason to leave it.
     bool isFreshKey = false; ///< The key has not run anywhere.
     std::vector<InstanceId> drainingHomes; ///< Homes of the key that refused because they drain.
 };
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -21,7 +21,8 @@
 /// A call from a gate to its backend server; never reused within a run.
 using CallId = Strong<struct CallIdTag, std::uint64_t>;
 
-/// Id that the guest gave to this attempt of its own; it travels with the request and names it in logs.
+/// Id that the guest gave to this attempt of its own; it travels with the request and names it in
+/// logs.
 using GuestAttemptId = Strong<struct GuestAttemptIdTag, std::string>;
 
 /// Largest request or answer body, in bytes.
@@ -36,7 +37,8 @@
     std::string target; ///< Path and query below the service's prefix, starting with "/".
     std::string contentType;
     std::string body;
-    std::string host {}; ///< The host that the guest asked for; selects a route together with the path.
+    std::string
+        host {}; ///< The host that the guest asked for; selects a route together with the path.
     HeaderFields headers {}; ///< Passed on beside the content type, as they came.
 
     friend bool operator==(const RequestContent &, const RequestContent &) = default;
--- a/include/camphorreach/retrybudget.h
+++ b/include/camphorreach/retrybudget.h
@@ -47,7 +47,8 @@
     };
 
     Limits m_limits {};
-    std::map<Key, double> m_tokens; // in [0, m_limits.maxTokens]; at most services times maxCallDepth
+    std::map<Key, double>
+        m_tokens; // in [0, m_limits.maxTokens]; at most services times maxCallDepth
 };
 
 } // namespace camphorreach
--- a/include/camphorreach/rollouts.h
+++ b/include/camphorreach/rollouts.h
@@ -1,4 +1,5 @@
-// Rollouts: the filter that moves a service's traffic to a new version within seconds, or takes it back.
+// Rollouts: the filter that moves a service's traffic to a new version within seconds, or takes it
+// back.
 #pragma once
 
 #include <camphorreach/endpointtable.h>
@@ -78,8 +79,7 @@
     void onMessage(const RolloutMessage &message, TimePoint now);
     void onReply(const StoreReply &reply, TimePoint now);
     void onEndpoints(const EndpointsChanged &changed);
-    void tick(const ServiceName &service, Running &running, TimePoint now,
-              Outbox<Output> &outbox);
+    void tick(const ServiceName &service, Running &running, TimePoint now, Outbox<Output> &outbox);
     void lead(Running &running, TimePoint now, Outbox<Output> &outbox);
     void report(const Running &running, TimePoint now, Outbox<Output> &outbox) const;
     void direct(const Running &running, TimePoint now, Outbox<Output> &outbox) const;
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -35,24 +35,23 @@
 
 void Catalog::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
-    std::visit(Overloaded {
-                   [&](StoreReply &reply) { onReply(reply, now, outbox); },
-                   [&](PeerReceived<CatalogMessage> &received) {
-                       onMessage(received, now, outbox);
-                   },
-                   [&](EndpointsChanged &changed) {
-                       m_near.clear();
-                       m_far.clear();
-                       for (const auto &[service, endpoints] : changed.table->services) {
-                           for (const Endpoint &endpoint : endpoints) {
-                               if (endpoint.peer != m_self.peer)
-                                   (endpoint.domain == m_self.domain ? m_near : m_far)
-                                       .push_back(endpoint.peer);
-                           }
-                       }
-                   },
-               },
-               input);
+    std::visit(
+        Overloaded {
+            [&](StoreReply &reply) { onReply(reply, now, outbox); },
+            [&](PeerReceived<CatalogMessage> &received) { onMessage(received, now, outbox); },
+            [&](EndpointsChanged &changed) {
+                m_near.clear();
+                m_far.clear();
+                for (const auto &[service, endpoints] : changed.table->services) {
+                    for (const Endpoint &endpoint : endpoints) {
+                        if (endpoint.peer != m_self.peer)
+                            (endpoint.domain == m_self.domain ? m_near : m_far)
+                                .push_back(endpoint.peer);
+                    }
+                }
+            },
+        },
+        input);
     advance(now, outbox);
 }
 
@@ -162,24 +161,23 @@
 void Catalog::onMessage(PeerReceived<CatalogMessage> &received, TimePoint now,
                         Outbox<Output> &outbox)
 {
-    std::visit(Overloaded {
-                   [&](const CatalogAdvert &advert) {
-                       onAdvert(received.from, advert, now, outbox);
-                   },
-                   [&](CatalogUpdate &update) {
-                       bool haveOrdersChanged = false;
-                       for (const RolloutOrder &order : update.orders)
-                           haveOrdersChanged = apply(order) || haveOrdersChanged;
-                       apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
-                       if (!haveOrdersChanged)
-                           return;
-                       OrdersChanged changed;
-                       for (const auto &[service, order] : m_orders)
-                           changed.orders.push_back(order);
-                       outbox.emit(std::move(changed));
-                   },
-               },
-               received.message);
+    std::visit(
+        Overloaded {
+            [&](const CatalogAdvert &advert) { onAdvert(received.from, advert, now, outbox); },
+            [&](CatalogUpdate &update) {
+                bool haveOrdersChanged = false;
+                for (const RolloutOrder &order : update.orders)
+                    haveOrdersChanged = apply(order) || haveOrdersChanged;
+                apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
+                if (!haveOrdersChanged)
+                    return;
+                OrdersChanged changed;
+                for (const auto &[service, order] : m_orders)
+                    changed.orders.push_back(order);
+                outbox.emit(std::move(changed));
+            },
+        },
+        received.message);
 }
 
 void Catalog::onAdvert(const NetAddress &from, const CatalogAdvert &theirs, TimePoint now,
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -38,9 +38,8 @@
         || hasDeparted(announcement))
         return;
     if (m_latest) {
-        const auto place = [](const BackendAnnouncement &one) {
-            return std::tie(one.born, one.number);
-        };
+        const auto place
+            = [](const BackendAnnouncement &one) { return std::tie(one.born, one.number); };
         if (place(announcement) <= place(*m_latest))
             return;
         // A start does not take back that it leaves.
@@ -55,8 +54,7 @@
 {
     const bool isLatest = m_latest && m_latest->server == departure.server
         && (!departure.born || *departure.born >= m_latest->born);
-    const BackendBirth born
-        = departure.born.value_or(isLatest ? m_latest->born : BackendBirth());
+    const BackendBirth born = departure.born.value_or(isLatest ? m_latest->born : BackendBirth());
     m_departed.push_back({ departure.server, born });
     if (m_departed.size() > maxDeparted)
         m_departed.pop_front();
@@ -83,8 +81,11 @@
     if (!m_latest)
         return;
     const bool isSilent = now - m_heardAt >= m_silence;
-    BackendAnnounced announced { m_latest->server, m_latest->service, m_latest->version,
-                                 m_latest->slots,  !m_latest->isDraining && !isSilent,
+    BackendAnnounced announced { m_latest->server,
+                                 m_latest->service,
+                                 m_latest->version,
+                                 m_latest->slots,
+                                 !m_latest->isDraining && !isSilent,
                                  m_latest->warmUpLeft };
     // The rest of a warm-up shrinks with each announcement; only its beginning is news.
     if (m_published && announced.warmUpLeft > Duration::zero()
--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -52,17 +52,18 @@
 
 void Rollouts::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
-    std::visit(Overloaded {
-                   [&](OrdersChanged &changed) {
-                       for (const RolloutOrder &order : changed.orders)
-                           onOrder(order, now);
-                   },
-                   [&](RequestSample &sample) { onSample(sample, now); },
-                   [&](PeerReceived<RolloutMessage> &received) { onMessage(received.message, now); },
-                   [&](EndpointsChanged &changed) { onEndpoints(changed); },
-                   [&](StoreReply &reply) { onReply(reply, now); },
-               },
-               input);
+    std::visit(
+        Overloaded {
+            [&](OrdersChanged &changed) {
+                for (const RolloutOrder &order : changed.orders)
+                    onOrder(order, now);
+            },
+            [&](RequestSample &sample) { onSample(sample, now); },
+            [&](PeerReceived<RolloutMessage> &received) { onMessage(received.message, now); },
+            [&](EndpointsChanged &changed) { onEndpoints(changed); },
+            [&](StoreReply &reply) { onReply(reply, now); },
+        },
+        input);
     publish(outbox);
 }
 
@@ -198,8 +199,8 @@
 
 bool Rollouts::isLeading() const
 {
-    const auto end = m_members.begin()
-        + static_cast<std::ptrdiff_t>(std::min(leaders, m_members.size()));
+    const auto end
+        = m_members.begin() + static_cast<std::ptrdiff_t>(std::min(leaders, m_members.size()));
     return std::any_of(m_members.begin(), end, [this](const Endpoint &member) {
         return member.instance == m_self.instance;
     });
@@ -248,9 +249,8 @@
     else if (!running.wholeSince)
         running.wholeSince = now;
     direct(running, now, outbox);
-    const bool isDue = now - running.startedAt
-        >= Duration(static_cast<Duration::rep>(m_policy.completedAt
-                                               * static_cast<double>(running.order.ramp.count())));
+    const bool isDue = now - running.startedAt >= Duration(static_cast<Duration::rep>(
+                           m_policy.completedAt * static_cast<double>(running.order.ramp.count())));
     if (running.isBad)
         writeState(running, RolloutState::RolledBack, now, outbox);
     else if (isDue && running.wholeSince && now - *running.wholeSince >= settleTime)
@@ -296,9 +296,9 @@
 
 void Rollouts::report(const Running &running, TimePoint now, Outbox<Output> &outbox) const
 {
-    const RolloutReport report { m_self.instance,         running.order.service,
-                                 running.order.target,    now - running.startedAt,
-                                 running.established,     running.candidate };
+    const RolloutReport report { m_self.instance,      running.order.service,
+                                 running.order.target, now - running.startedAt,
+                                 running.established,  running.candidate };
     for (std::size_t i = 0; i < std::min(leaders, m_members.size()); ++i) {
         if (m_members[i].instance != m_self.instance)
             outbox.emit(
@@ -312,8 +312,7 @@
                                        running.isBad, now - running.startedAt };
     for (const Endpoint &member : m_members) {
         if (member.instance != m_self.instance)
-            outbox.emit(
-                PeerSend { member.peer, Transport::Datagram, RolloutMessage(directive) });
+            outbox.emit(PeerSend { member.peer, Transport::Datagram, RolloutMessage(directive) });
     }
     // The other leading node judges by the same counts.
     report(running, now, outbox);
--- a/src/filters/requests/placement.cpp
+++ b/src/filters/requests/placement.cpp
@@ -134,8 +134,8 @@
     return pick(version->second, state, now);
 }
 
-// The established version is the one of most endpoints. It stands in for a candidate without any, and
-// a candidate that is not banned stands in for it.
+// The established version is the one of most endpoints. It stands in for a candidate without any,
+// and a candidate that is not banned stands in for it.
 template <BalancingPolicy Policy>
 std::optional<BackendVersion> Placement<Policy>::openVersion(const ServiceIndex &index,
                                                              const ServiceShares *move)
@@ -159,7 +159,7 @@
     if (!candidate || !established)
         return candidate ? candidate : established;
     return uniformBelow(m_random, Share::whole) < move->candidateShare.millionths() ? candidate
-                                                                                     : established;
+                                                                                    : established;
 }
 
 template <BalancingPolicy Policy>
--- a/src/filters/requests/retrybudget.cpp
+++ b/src/filters/requests/retrybudget.cpp
@@ -7,7 +7,8 @@
 
 void RetryBudget::deposit(const ServiceName &service, CallDepth depth, Share ratio)
 {
-    double &tokens = m_tokens.try_emplace(Key { service, depth }, m_limits.initialTokens).first->second;
+    double &tokens
+        = m_tokens.try_emplace(Key { service, depth }, m_limits.initialTokens).first->second;
     tokens = std::min(m_limits.maxTokens, tokens + ratio.fraction());
 }
 
--- a/src/pipelines/sidecarmain.cpp
+++ b/src/pipelines/sidecarmain.cpp
@@ -48,11 +48,11 @@
     cxxopts::Options options("camphorreach-sidecar",
                              "Runs a node beside a backend server; routes and orders lie in the "
                              "platform's store.");
-    options.add_options()("settings",
-                          std::string("TOML file with the settings (default: the path in ")
-                              + variable + ")",
-                          cxxopts::value<std::string>())("check", "only check the settings")(
-        "h,help", "print this help");
+    options.add_options()(
+        "settings",
+        std::string("TOML file with the settings (default: the path in ") + variable + ")",
+        cxxopts::value<std::string>())("check", "only check the settings")("h,help",
+                                                                           "print this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -49,8 +49,8 @@
 void readRetries(SidecarSettings &settings, impl::TomlReader reader)
 {
     RetrySettings &retries = settings.retries;
-    const auto thousandths = reader.integer("ratio-thousandths", 0, 1000,
-                                            retries.ratio.millionths() / 1000);
+    const auto thousandths
+        = reader.integer("ratio-thousandths", 0, 1000, retries.ratio.millionths() / 1000);
     retries.ratio = Share::fromMillionths(static_cast<std::uint32_t>(thousandths) * 1000);
     retries.extra = static_cast<std::uint32_t>(
         reader.integer("extra", 0, std::numeric_limits<std::int32_t>::max(), retries.extra));
--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -4,10 +4,11 @@
 #include "../platform/requests.h"
 #include "../platform/store.h"
 
+#include "nodefixture.h"
+
 #include <camphorreach/impl/meshnode.h>
 #include <camphorreach/result.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
@@ -37,42 +38,13 @@
     static const char *announcementPrefix() { return platform::instancesPath; }
 };
 
-// An HTTP server on its own thread.
-class Standin
-{
-public:
-    using Handler = std::function<std::optional<HttpResponse>(const HttpRequest &)>;
-
-    explicit Standin(Handler handler)
-        : m_handler(std::move(handler)),
-          m_server(m_thread.io(), { "127.0.0.1", 0 }, 256,
-                   { [this](impl::ExchangeId id, HttpRequest &&request) {
-                        if (auto response = m_handler(request))
-                            m_server.respond(id, std::move(*response));
-                    },
-                     {} })
-    {
-        m_thread.start();
-    }
-    ~Standin() { m_thread.stop(); }
-    Standin(const Standin &) = delete;
-    Standin &operator=(const Standin &) = delete;
-
-    [[nodiscard]] NetAddress address() const { return { "127.0.0.1", m_server.port() }; }
-
-private:
-    impl::IoThread m_thread;
-    Handler m_handler;
-    impl::HttpServer m_server;
-};
-
 // Two nodes, each beside a server of "orders". The store holds one configuration; its watches wait.
 class MeshNodeFixture
 {
 protected:
     struct Side
     {
-        std::unique_ptr<Standin> server;
+        std::unique_ptr<LoopbackServer> server;
         SidecarSettings settings;
         std::unique_ptr<impl::MeshNode<Platform>> node;
         std::atomic<int> runs { 0 };
@@ -80,22 +52,19 @@
 
     MeshNodeFixture()
     {
-        store = std::make_unique<Standin>(
-            [this](const HttpRequest &request) { return onStore(request); });
+        store = std::make_unique<LoopbackServer>(
+            [this](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
+                if (auto response = onStore(request))
+                    server.respond(id, *std::move(response));
+            });
         for (std::size_t i = 0; i < 2; ++i) {
             auto side = std::make_unique<Side>();
             Side *self = side.get();
-            side->server = std::make_unique<Standin>([self](const HttpRequest &request) {
-                ++self->runs;
-                return std::optional(HttpResponse {
-                    200,
-                    { { "X-Camphorreach-Attempt-Id",
-                        std::string(request.header("X-Camphorreach-Attempt-Id")) },
-                      { "X-Camphorreach-Response-Seal", "seal" } },
-                    request.method + " " + request.target + " "
-                        + std::string(request.header("X-Camphorreach-Target-Instance")) + " "
-                        + request.body });
-            });
+            side->server = std::make_unique<LoopbackServer>(
+                [self](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
+                    ++self->runs;
+                    server.respond(id, signedAnswer(request));
+                });
             configure(side->settings, i, side->server->address());
             sides.push_back(std::move(side));
         }
@@ -116,22 +85,25 @@
     {
         settings.instance = InstanceId("node-" + std::to_string(number));
         settings.domain = FailureDomain("arima");
-        settings.guestAddress = freeAddress();
-        settings.peerAddress = freeAddress();
-        settings.readyAddress = freeAddress();
-        settings.announceAddress = freeAddress();
+        settings.guestAddress = addresses[4 * number];
+        settings.peerAddress = addresses[4 * number + 1];
+        settings.readyAddress = addresses[4 * number + 2];
+        settings.announceAddress = addresses[4 * number + 3];
         settings.backendServer = { server, ServiceName("orders") };
         settings.platform = store->address();
         settings.randomSeed = number + 1;
         settings.logLevel = LogLevel::Error;
     }
 
-    static NetAddress freeAddress()
+    static HttpResponse signedAnswer(const HttpRequest &request)
     {
-        boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(
-            io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        return { "127.0.0.1", acceptor.local_endpoint().port() };
+        const std::string id(request.header("X-Camphorreach-Attempt-Id"));
+        return {
+            200,
+            { { "X-Camphorreach-Attempt-Id", id }, { "X-Camphorreach-Response-Seal", "seal" } },
+            request.method + " " + request.target + " "
+                + std::string(request.header("X-Camphorreach-Target-Instance")) + " " + request.body
+        };
     }
 
     // Runs on the store's thread only.
@@ -220,8 +192,9 @@
         "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,
         "idle_timeout_ms":15000}},"status":null})";
 
+    const std::vector<NetAddress> addresses = freeAddresses(8); // four for each node
     std::vector<std::string> nodes; // records in the store
-    std::unique_ptr<Standin> store;
+    std::unique_ptr<LoopbackServer> store;
     std::vector<std::unique_ptr<Side>> sides;
     impl::IoThread client;
     int attempts = 0;
--- /dev/null
+++ b/tests/meshroutertest.cpp
@@ -0,0 +1,176 @@
+// Tests of a router whose requests wait at gates only.
+#include <camphorreach/meshconfig.h>
+#include <camphorreach/result.h>
+#include <camphorreach/router.h>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// An entry node in "arima", with two gates there and one in "chaguanas".
+class MeshRouterFixture
+{
+protected:
+    MeshRouterFixture()
+    {
+        auto table = std::make_shared<EndpointTable>();
+        const char *domains[] = { "arima", "arima", "chaguanas" };
+        for (std::uint16_t i = 0; i < 3; ++i) {
+            Endpoint endpoint;
+            endpoint.instance = InstanceId("node-" + std::to_string(i));
+            endpoint.peer = { "127.0.0.1", static_cast<std::uint16_t>(i + 1) };
+            endpoint.domain = FailureDomain(domains[i]);
+            endpoint.service = ServiceName("orders");
+            endpoint.version = BackendVersion("v1");
+            endpoint.slots = 4;
+            table->services[endpoint.service].push_back(endpoint);
+        }
+        process(EndpointsChanged { table });
+    }
+
+    static MeshRouter::Options options()
+    {
+        MeshRouter::Options result;
+        result.waitsForRoom = false;
+        result.spillBytesPerWeight = ByteCount(1000);
+        result.retries = { 1.0, 1.0 };
+        return result;
+    }
+
+    void putInForce(bool isIdempotent)
+    {
+        MeshConfig config;
+        config.version = ConfigVersion(3);
+        HostRoute route;
+        route.host = "a.example";
+        route.policy.name = RouteName("bags");
+        route.policy.prefix = "/bags/";
+        route.policy.isIdempotent = isIdempotent;
+        route.policy.kindWeight = 2;
+        route.policy.maxAttempts = 2;
+        route.parts.push_back({ ServiceName("orders"), 1 });
+        config.routes.push_back(route);
+        config.services.push_back({ ServiceName("orders"), 10 });
+        process(SnapshotChanged { snapshotOf(config, Share::none()) });
+    }
+
+    template <typename Input>
+    void process(Input input)
+    {
+        Outbox<MeshRouter::Output> outbox;
+        router.process(std::move(input), now, outbox);
+        for (auto &output : outbox.take()) {
+            if (auto *send = std::get_if<PeerSend>(&output))
+                sends.push_back(std::move(*send));
+            else if (auto *answer = std::get_if<GuestAnswer>(&output))
+                answers.push_back(std::move(*answer));
+            else if (auto *decision = std::get_if<RouterDecision>(&output))
+                decisions.push_back(std::move(*decision));
+        }
+    }
+
+    void ask(const std::string &path = "/bags/1")
+    {
+        GuestRequest request;
+        request.id = RequestId(++lastId);
+        request.budget = seconds(1);
+        request.attemptId = GuestAttemptId("id-" + std::to_string(lastId));
+        request.content = { "POST", path, "", "x", "a.example" };
+        process(std::move(request));
+    }
+    // The gate that was asked last gives this outcome.
+    void reply(Outcome outcome)
+    {
+        const PeerSend &send = sends.back();
+        const auto &forward = std::get<ForwardRequest>(std::get<RequestMessage>(send.message));
+        process(
+            PeerReceived<ForwardAnswer> { send.to, { forward.id, std::move(outcome), {}, false } });
+    }
+    [[nodiscard]] const NotRun *lastNotRun() const
+    {
+        return answers.empty() ? nullptr : std::get_if<NotRun>(&answers.back().outcome);
+    }
+
+    RandomSource random { 1 };
+    MeshRouter router { FailureDomain("arima"), 100, options(), random };
+    TimePoint now { seconds(100) };
+    std::vector<PeerSend> sends;
+    std::vector<GuestAnswer> answers;
+    std::vector<RouterDecision> decisions;
+    std::uint64_t lastId = 0;
+};
+
+// Guards against a denial of a route by a node that knows no configuration.
+TEST_CASE_METHOD(MeshRouterFixture, "MeshRouter_noConfiguration_isNotRunAndNoDenial")
+{
+    ask();
+    REQUIRE(lastNotRun() != nullptr);
+    CHECK(lastNotRun()->reason == NotRunReason::NoConfiguration);
+    putInForce(true);
+    ask("/other/1");
+    CHECK(lastNotRun()->reason == NotRunReason::NoRoute);
+}
+
+// Guards against requests that wait at an entry node although no gate takes them.
+TEST_CASE_METHOD(MeshRouterFixture, "MeshRouter_allGatesRefuse_isRefusedWithATimeToComeBack")
+{
+    putInForce(false);
+    ask();
+    reply(NotRun { NotRunReason::Overloaded, milliseconds(100) });
+    reply(NotRun { NotRunReason::Overloaded, milliseconds(100) });
+    reply(NotRun { NotRunReason::Overloaded, milliseconds(100) });
+    REQUIRE(lastNotRun() != nullptr);
+    CHECK(lastNotRun()->reason == NotRunReason::Overloaded);
+    CHECK(lastNotRun()->retryAfter > Duration::zero());
+    CHECK(lastNotRun()->retryAfter <= milliseconds(250)); // a quarter of the time left
+    CHECK(sends.size() == 3);
+    CHECK(sends[0].to != sends[1].to);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].attempt == GuestAttemptId("id-1"));
+    CHECK(decisions[0].wasSpilled);
+}
+
+// Guards against large requests that leave their failure domain because its gates are full.
+TEST_CASE_METHOD(MeshRouterFixture, "MeshRouter_largeRequest_staysInItsFailureDomain")
+{
+    putInForce(false);
+    ask();
+    reply(Answered { 200, "", std::string(5000, 'x') }); // above 2 x 1,000 bytes
+    sends.clear();
+    ask();
+    reply(NotRun { NotRunReason::Overloaded });
+    reply(NotRun { NotRunReason::Overloaded });
+    CHECK(lastNotRun() != nullptr);
+    CHECK(sends.size() == 2);
+}
+
+// Guards against a run-once request that runs twice.
+TEST_CASE_METHOD(MeshRouterFixture, "MeshRouter_runOnceRequestMayHaveRun_isNotSentAgain")
+{
+    putInForce(false);
+    ask();
+    reply(OutcomeUnknown { UnknownReason::BackendServerLost });
+    CHECK(sends.size() == 1);
+    CHECK(std::holds_alternative<OutcomeUnknown>(answers.back().outcome));
+}
+
+// Guards against more repeats than the budget allows: each refusal by a server has cost it work.
+TEST_CASE_METHOD(MeshRouterFixture, "MeshRouter_serversRefuse_repeatsStayWithinTheBudget")
+{
+    putInForce(false);
+    for (int i = 0; i < 10; ++i) {
+        ask();
+        while (answers.size() < lastId)
+            reply(NotRun { NotRunReason::BackendRefused });
+    }
+    CHECK(sends.size() <= 11); // one token at the start, and none is earned
+}
+
+} // namespace
+} // namespace camphorreach
--- a/tests/nodefixture.cpp
+++ b/tests/nodefixture.cpp
@@ -54,8 +54,16 @@
     return !error;
 }
 
-// Free addresses, all different, below the ports that the system gives to outgoing connections:
-// one of those could take the port between this check and the start of the node.
+impl::HttpResponse configHead()
+{
+    const boost::json::object head { { "version", 1 },
+                                     { "operations", boost::json::array { "test-1" } },
+                                     { "tree", tree } };
+    return { 200, { { "X-Object-Version", "1" } }, boost::json::serialize(head) };
+}
+
+} // namespace
+
 std::vector<NetAddress> freeAddresses(std::size_t count)
 {
     constexpr std::uint16_t firstPort = 12'000;
@@ -73,16 +81,6 @@
     return result;
 }
 
-impl::HttpResponse configHead()
-{
-    const boost::json::object head { { "version", 1 },
-                                     { "operations", boost::json::array { "test-1" } },
-                                     { "tree", tree } };
-    return { 200, { { "X-Object-Version", "1" } }, boost::json::serialize(head) };
-}
-
-} // namespace
-
 LoopbackServer::LoopbackServer(Handler handler)
     : m_server(std::make_unique<impl::HttpServer>(
         m_thread.io(), NetAddress { "127.0.0.1", 0 }, maxConnections,
--- a/tests/nodefixture.h
+++ b/tests/nodefixture.h
@@ -13,6 +13,10 @@
 
 namespace camphorreach {
 
+/// Free addresses, all different, below the ports that the system gives to outgoing connections:
+/// one of those could take the port between this check and the start of the node.
+[[nodiscard]] std::vector<NetAddress> freeAddresses(std::size_t count);
+
 /// An HTTP server on its own thread and a free port.
 class LoopbackServer
 {
