End a watch of the store within three seconds

All nodes had renewed their watch at 12.6 s, 20 s after the start, while the store was silent without a reset; those watches hung until 34 s, and no node was ahead to tell others. Change: a watch ends after 3 s: 3 s until a machine is in touch and 2 s to be in force, less the call's timeout of 1.5 s. The test of the catalog asks for at most 3.5 s.

--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -9,8 +9,10 @@
 namespace camphorreach {
 namespace {
 
-// A waiting watch counts as one call; the store allows 30 s.
-constexpr Duration watchTime = std::chrono::seconds(20);
+// A store that falls silent without a reset leaves a watch hanging until its own end. A machine
+// counts as in touch 3 s after the store is back, and a change must be in force 2 s later; the
+// call's own timeout of 1.5 s is part of that.
+constexpr Duration watchTime = std::chrono::seconds(3);
 // Nodes are only listed to find those that gossip has lost, so it may be slow and stale.
 constexpr Duration listInterval = std::chrono::seconds(20);
 // Nodes that start together are entered within a second or two of each other.
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -124,6 +124,9 @@
     const StoreCall *follow = lastCall<StoreFollow>(StoreKind::Configuration);
     REQUIRE(follow != nullptr);
     CHECK(std::get<StoreFollow>(follow->operation).since == ObjectVersion(40));
+    // 3 s until in touch and 2 s to be in force, less the call's timeout of 1.5 s: a watch that
+    // hangs in a silent store must have ended by then.
+    CHECK(std::get<StoreFollow>(follow->operation).wait <= milliseconds(3500));
     answer(follow, entries(config(7), 44));
     CHECK(versions == std::vector<std::uint64_t> { 3, 7 });
 }
