Collect the orders of the catalog in one place

Cause: the read-through found the same loop over the orders three times. Change: Catalog::orders(); no behaviour changes.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -71,6 +71,7 @@
     void call(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox);
     void follow(Follower &follower, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] CatalogAdvert advert(bool isAnswer) const;
+    [[nodiscard]] std::vector<RolloutOrder> orders() const;
     [[nodiscard]] ObjectVersion newestOrder() const;
     [[nodiscard]] Duration backoff(std::uint32_t failures);
 
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -121,12 +121,8 @@
                 m_known.push_back(node->peer);
         }
     }
-    if (haveOrdersChanged) {
-        OrdersChanged changed;
-        for (const auto &[service, order] : m_orders)
-            changed.orders.push_back(order);
-        outbox.emit(std::move(changed));
-    }
+    if (haveOrdersChanged)
+        outbox.emit(OrdersChanged { orders() });
     follower.nextCall = now;
     if (entries.hasMore && !entries.entries.empty()) {
         follower.after = entries.entries.back().name;
@@ -171,12 +167,8 @@
                 for (const RolloutOrder &order : update.orders)
                     haveOrdersChanged = apply(order) || haveOrdersChanged;
                 apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
-                if (!haveOrdersChanged)
-                    return;
-                OrdersChanged changed;
-                for (const auto &[service, order] : m_orders)
-                    changed.orders.push_back(order);
-                outbox.emit(std::move(changed));
+                if (haveOrdersChanged)
+                    outbox.emit(OrdersChanged { orders() });
             },
         },
         received.message);
@@ -191,10 +183,8 @@
         TimePoint &updated = m_updated[from];
         if (updated == TimePoint {} || now - updated >= updateInterval) {
             updated = now;
-            CatalogUpdate update { *m_config, {} };
-            for (const auto &[service, order] : m_orders)
-                update.orders.push_back(order);
-            outbox.emit(PeerSend { from, Transport::Stream, CatalogMessage(std::move(update)) });
+            outbox.emit(PeerSend { from, Transport::Stream,
+                                   CatalogMessage(CatalogUpdate { *m_config, orders() }) });
         }
         if (m_updated.size() > maxUpdated)
             m_updated.clear();
@@ -281,6 +271,14 @@
     return { version(), newestOrder(), isAnswer };
 }
 
+std::vector<RolloutOrder> Catalog::orders() const
+{
+    std::vector<RolloutOrder> result;
+    for (const auto &[service, order] : m_orders)
+        result.push_back(order);
+    return result;
+}
+
 ObjectVersion Catalog::newestOrder() const
 {
     ObjectVersion newest;
