Take a crash only from evidence that the process ended, and contain it on the platform

Cause: the gate took each lost connection for a crash. Backend servers also reset connections and lose answers while they live, so popular content became suspect, ran alone and was quarantined; the sidecar therefore ran without containment.

Change: a crash needs calls that were lost and, within 1 s, a refused connection or a new incarnation. Any answer clears a content. A node of the mesh lets a content run alone after two crashes, counted over the gates of the service; the count travels in the notice. The retries benchmark fails when a gate contains a content, since nothing crashes in it.

--- a/include/camphorreach/crashcontainment.h
+++ b/include/camphorreach/crashcontainment.h
@@ -12,8 +12,9 @@
 
 namespace camphorreach {
 
-/// Requests in flight at a crash become suspects. A suspect that crashes the backend server while
-/// it runs alone is proved to be the cause and quarantined; one that survives is cleared.
+/// Requests in flight at a crash become suspects, where it takes that many crashes after one more.
+/// A suspect that crashes the backend server while it runs alone is proved to be the cause and
+/// quarantined; one that is answered is cleared.
 class CrashContainment
 {
 public:
@@ -23,6 +24,8 @@
         Duration quarantine = std::chrono::minutes(10);
         /// Crashes within this time are judged together.
         Duration window = std::chrono::minutes(1);
+        /// In how many crashes a request was in flight before it runs alone.
+        std::uint32_t crashesToSuspect = 1;
         std::size_t suspects = 1024;
         std::size_t quarantined = 1024;
         /// More crashes in the window than this without a common request are the version's.
@@ -51,7 +54,7 @@
     /// The backend server has crashed with \a inFlight running; \a alone is the suspect that had
     /// it for itself, if one had.
     Verdict onCrash(const std::set<Digest> &inFlight, std::optional<Digest> alone, TimePoint now);
-    /// A suspect ran alone and the backend server answered.
+    /// The backend server has run the request and answered.
     void onSurvived(Digest fingerprint);
     /// Takes over what another gate knows. Returns the entries that were news.
     std::vector<QuarantineEntry> learn(const QuarantineNotice &notice, TimePoint now);
@@ -62,7 +65,7 @@
     [[nodiscard]] bool isVersionSuspect(TimePoint now) const;
     void expire(TimePoint now);
 
-    [[nodiscard]] std::size_t suspectCount() const noexcept { return m_suspects.size(); }
+    [[nodiscard]] std::size_t suspectCount() const noexcept;
     [[nodiscard]] std::size_t quarantinedCount() const noexcept { return m_quarantined.size(); }
 
 private:
@@ -71,14 +74,23 @@
         TimePoint time {};
         std::set<Digest> inFlight;
     };
-    using Table = std::map<Digest, TimePoint>; // fingerprint to expiry
+    struct Entry
+    {
+        TimePoint expires {};
+        std::uint32_t crashes = 1; // with the request in flight, the most that one gate has seen
+        std::uint32_t forgiven = 0; // of these, at most crashes; it has been answered since
+    };
+    using Table = std::map<Digest, Entry>; // by fingerprint
 
-    static bool insert(Table &table, std::size_t limit, Digest fingerprint, TimePoint expires);
+    static std::uint32_t crashesIn(const Table &table, Digest fingerprint, TimePoint now);
+    static bool insert(Table &table, std::size_t limit, Digest fingerprint, Entry entry);
     [[nodiscard]] std::size_t crashesWith(Digest fingerprint, TimePoint now) const;
     [[nodiscard]] bool isExplained(const Crash &crash, TimePoint now) const;
 
     const Limits m_limits;
-    Table m_suspects; // at most m_limits.suspects
+    // At most m_limits.suspects. Cleared ones stay until they expire: forgotten, they would be news
+    // again when another gate passes them on, and gates would tell them to each other for ever.
+    Table m_suspects;
     Table m_quarantined; // at most m_limits.quarantined
     std::deque<Crash> m_crashes; // at most maxCrashes
     std::deque<TimePoint> m_proofs; // times of local proofs; at most maxCrashes
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -15,6 +15,7 @@
 #include <camphorreach/servicetimes.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -90,6 +91,15 @@
     };
     using Calls = std::map<CallId, Call>;
 
+    // A call whose connection ended without an answer.
+    struct Loss
+    {
+        Digest fingerprint;
+        TimePoint started {};
+        TimePoint time {};
+        bool wasAlone = false; // it had the backend server for itself
+    };
+
     void onReceived(ForwardReceived &&received, TimePoint now, Outbox<Output> &outbox);
     void admit(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
     void enqueue(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
@@ -106,7 +116,8 @@
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
 
-    void onCrash(TimePoint now, Outbox<Output> &outbox);
+    void onLost(const Call &call, bool wasAlone, TimePoint now, Outbox<Output> &outbox);
+    void judgeCrash(TimePoint now, Outbox<Output> &outbox);
     void endIsolation(const Call &call, bool hasAnswered, TimePoint now, Outbox<Output> &outbox);
     void refuseQuarantined(Digest fingerprint, TimePoint now, Outbox<Output> &outbox);
     static void emitAll(std::vector<PeerSend> &&notices, Outbox<Output> &outbox);
@@ -144,8 +155,9 @@
     std::optional<CallId> m_alone; // the suspect that runs alone
     std::optional<TimePoint> m_holdSince; // since when slots are kept free for a suspect
     TimePoint m_nextIsolation {}; // no suspect runs before
+    std::deque<Loss> m_losses; // not part of a judged crash; at most maxLosses
+    std::optional<TimePoint> m_processEnded; // last evidence of it; empty once judged
     std::set<CallId> m_lastCrashCalls; // in flight at the last crash, and not ended yet
-    std::optional<TimePoint> m_lastCrash;
     bool m_isLastCrashExplained = false;
     std::uint64_t m_nextCall = 1;
     bool m_isReachable = true;
--- a/include/camphorreach/quarantinemessage.h
+++ b/include/camphorreach/quarantinemessage.h
@@ -5,6 +5,7 @@
 #include <camphorreach/units.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,7 @@
     Digest fingerprint;
     Duration remaining {}; ///< Time left until it expires; keeps clocks of nodes out of it.
     bool isProved = false; ///< Whether it crashed a backend server while it ran alone.
+    std::uint32_t crashes = 1; ///< How many crashes a gate has seen with it in flight.
 
     friend bool operator==(const QuarantineEntry &, const QuarantineEntry &) = default;
 };
--- a/src/bench/meshmodel.h
+++ b/src/bench/meshmodel.h
@@ -173,6 +173,16 @@
     }
 
     [[nodiscard]] const R &router(std::size_t number) const { return m_routers[number]->filter(); }
+    /// How many contents the gates hold to be causes of crashes, or suspect.
+    [[nodiscard]] std::size_t containedContents() const
+    {
+        std::size_t count = 0;
+        for (const auto &gate : m_gates) {
+            const CrashContainment &containment = gate->filter().containment();
+            count += containment.suspectCount() + containment.quarantinedCount();
+        }
+        return count;
+    }
 
 private:
     void onRouter(std::size_t number, typename R::Output &&output)
--- a/src/bench/retries.cpp
+++ b/src/bench/retries.cpp
@@ -22,6 +22,7 @@
 {
     double amplification = 0.0; // runs at the last level for each guest request
     double answered = 0.0; // part of the guest requests
+    std::size_t contained = 0; // contents that the gates keep from running
 };
 
 ServiceName serviceAt(std::size_t level)
@@ -103,7 +104,8 @@
     }
     loop.runUntil(loop.now() + interval * requests + std::chrono::seconds(20));
     return { static_cast<double>(runs) / static_cast<double>(requests),
-             static_cast<double>(answered) / static_cast<double>(requests) };
+             static_cast<double>(answered) / static_cast<double>(requests),
+             model.containedContents() };
 }
 
 } // namespace
@@ -127,11 +129,13 @@
     const auto baselineRequests = arguments["baseline-requests"].as<std::size_t>();
     const auto seed = arguments["seed"].as<std::uint64_t>();
     json::array cases;
+    std::size_t contained = 0;
     for (const std::size_t depth : { 1, 3, 7 }) {
         for (const double failurePart : { 0.1, 0.5, 1.0 }) {
             const Figures figures = measure<Router>(depth, failurePart, requests, seed);
             const Figures baseline
                 = measure<BaselineRouter>(depth, failurePart, baselineRequests, seed);
+            contained += figures.contained;
             cases.push_back(json::object { { "depth", depth },
                                            { "failure_part", failurePart },
                                            { "amplification", figures.amplification },
@@ -140,6 +144,11 @@
                                            { "baseline_answered", baseline.answered } });
         }
     }
+    // No server crashes here, so a figure with contained contents does not measure retries.
+    if (contained > 0) {
+        std::cerr << "retries: " << contained << " contents were taken for causes of crashes\n";
+        return 1;
+    }
     if (arguments.count("json") > 0) {
         std::cout << json::serialize(json::object { { "seed", seed }, { "cases", cases } }) << "\n";
         return 0;
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -77,7 +77,7 @@
 template <typename Archive>
 void serialize(Archive &archive, QuarantineEntry &entry)
 {
-    archive(entry.fingerprint, entry.remaining, entry.isProved);
+    archive(entry.fingerprint, entry.remaining, entry.isProved, entry.crashes);
 }
 
 template <typename Archive>
--- a/src/filters/requests/crashcontainment.cpp
+++ b/src/filters/requests/crashcontainment.cpp
@@ -15,15 +15,28 @@
 
 CrashContainment::Standing CrashContainment::standingOf(Digest fingerprint, TimePoint now) const
 {
-    const auto isIn = [&](const Table &table) {
-        const auto found = table.find(fingerprint);
-        return found != table.end() && found->second > now;
-    };
     if (!m_limits.isEnabled)
         return Standing::Normal;
-    if (isIn(m_quarantined))
+    if (crashesIn(m_quarantined, fingerprint, now) > 0)
         return Standing::Quarantined;
-    return isIn(m_suspects) ? Standing::Suspect : Standing::Normal;
+    return crashesIn(m_suspects, fingerprint, now) >= m_limits.crashesToSuspect ? Standing::Suspect
+                                                                                : Standing::Normal;
+}
+
+// Crashes with the request in flight since it was last answered.
+std::uint32_t CrashContainment::crashesIn(const Table &table, Digest fingerprint, TimePoint now)
+{
+    const auto found = table.find(fingerprint);
+    if (found == table.end() || found->second.expires <= now)
+        return 0;
+    return found->second.crashes - found->second.forgiven;
+}
+
+std::size_t CrashContainment::suspectCount() const noexcept
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_suspects, [](const auto &suspect) {
+        return suspect.second.crashes > suspect.second.forgiven;
+    }));
 }
 
 CrashContainment::Verdict CrashContainment::onCrash(const std::set<Digest> &inFlight,
@@ -39,7 +52,7 @@
     const bool isVersion = isVersionSuspect(now);
     if (alone && !isVersion) {
         m_suspects.erase(*alone);
-        (void)insert(m_quarantined, m_limits.quarantined, *alone, now + m_limits.quarantine);
+        (void)insert(m_quarantined, m_limits.quarantined, *alone, { now + m_limits.quarantine });
         m_proofs.push_back(now);
         if (m_proofs.size() > maxCrashes)
             m_proofs.pop_front();
@@ -57,8 +70,11 @@
     for (const Digest fingerprint : inFlight) {
         if (standingOf(fingerprint, now) == Standing::Quarantined)
             continue;
-        (void)insert(m_suspects, m_limits.suspects, fingerprint, now + m_limits.suspicion);
-        verdict.entries.push_back({ fingerprint, m_limits.suspicion, false });
+        const auto known = m_suspects.find(fingerprint);
+        const std::uint32_t crashes = known == m_suspects.end() ? 1 : known->second.crashes + 1;
+        (void)insert(m_suspects, m_limits.suspects, fingerprint,
+                     { now + m_limits.suspicion, crashes, 0 });
+        verdict.entries.push_back({ fingerprint, m_limits.suspicion, false, crashes });
     }
     if (verdict.entries.size() > maxQuarantineEntries)
         verdict.entries.resize(maxQuarantineEntries);
@@ -67,7 +83,9 @@
 
 void CrashContainment::onSurvived(Digest fingerprint)
 {
-    m_suspects.erase(fingerprint);
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end())
+        found->second.forgiven = found->second.crashes;
 }
 
 std::vector<QuarantineEntry> CrashContainment::learn(const QuarantineNotice &notice, TimePoint now)
@@ -75,9 +93,11 @@
     expire(now);
     std::vector<QuarantineEntry> news;
     for (const QuarantineEntry &entry : notice.entries) {
-        const Standing standing = standingOf(entry.fingerprint, now);
-        const bool isNews
-            = entry.isProved ? standing != Standing::Quarantined : standing == Standing::Normal;
+        const bool isQuarantined = m_quarantined.contains(entry.fingerprint);
+        const auto known = m_suspects.find(entry.fingerprint);
+        const bool isNews = !isQuarantined
+            && (entry.isProved || known == m_suspects.end()
+                || known->second.crashes < entry.crashes);
         if (!isNews || entry.remaining < leastRemaining || news.size() >= maxQuarantineEntries)
             continue;
         const Duration limit = entry.isProved ? m_limits.quarantine : m_limits.suspicion;
@@ -86,8 +106,8 @@
         const std::size_t size = entry.isProved ? m_limits.quarantined : m_limits.suspects;
         if (entry.isProved)
             m_suspects.erase(entry.fingerprint);
-        if (insert(table, size, entry.fingerprint, expires))
-            news.push_back({ entry.fingerprint, expires - now, entry.isProved });
+        if (insert(table, size, entry.fingerprint, { expires, entry.crashes, 0 }))
+            news.push_back({ entry.fingerprint, expires - now, entry.isProved, entry.crashes });
     }
     return news;
 }
@@ -95,26 +115,26 @@
 std::vector<QuarantineEntry> CrashContainment::entries(TimePoint now) const
 {
     std::vector<QuarantineEntry> result;
-    for (const auto &[fingerprint, expires] : m_quarantined) {
-        if (expires - now >= leastRemaining && result.size() < maxQuarantineEntries)
-            result.push_back({ fingerprint, expires - now, true });
+    for (const auto &[fingerprint, entry] : m_quarantined) {
+        if (entry.expires - now >= leastRemaining && result.size() < maxQuarantineEntries)
+            result.push_back({ fingerprint, entry.expires - now, true });
     }
     return result;
 }
 
 // Places one more entry; the one that expires first makes room.
-bool CrashContainment::insert(Table &table, std::size_t limit, Digest fingerprint,
-                              TimePoint expires)
+bool CrashContainment::insert(Table &table, std::size_t limit, Digest fingerprint, Entry entry)
 {
     if (limit == 0)
         return false;
     if (!table.contains(fingerprint) && table.size() >= limit) {
-        const auto first
-            = std::ranges::min_element(table, {}, [](const auto &entry) { return entry.second; });
+        const auto first = std::ranges::min_element(
+            table, {}, [](const auto &candidate) { return candidate.second.expires; });
         table.erase(first);
     }
-    TimePoint &stored = table[fingerprint];
-    stored = std::max(stored, expires);
+    Entry &stored = table[fingerprint];
+    stored.expires = std::max(stored.expires, entry.expires);
+    stored.crashes = std::max(stored.crashes, entry.crashes);
     return true;
 }
 
@@ -148,7 +168,7 @@
 
 void CrashContainment::expire(TimePoint now)
 {
-    const auto isOver = [now](const auto &entry) { return entry.second <= now; };
+    const auto isOver = [now](const auto &entry) { return entry.second.expires <= now; };
     std::erase_if(m_suspects, isOver);
     std::erase_if(m_quarantined, isOver);
     std::erase_if(m_crashes,
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -20,8 +20,10 @@
 // After a suspect's turn, other requests have the slots for this many times its length, so that
 // suspects take at most a fifth of the backend server's time.
 constexpr int isolationPause = 4;
-// Calls that meet a backend server that is already down do not become suspects of its crash.
-constexpr Duration crashAftermath = std::chrono::seconds(1);
+// Calls are lost at once when a process ends; the monitor sees a refused connection within its
+// longest pause of 0.5 s, and a busy machine takes as long again.
+constexpr Duration crashEvidence = std::chrono::seconds(1);
+constexpr std::size_t maxLosses = 256;
 
 Outcome outcomeOf(BackendFailure failure)
 {
@@ -204,6 +206,9 @@
         m_server = std::move(announced.server);
         m_isBackendLeaving = false;
         m_serviceTimes = {};
+        m_processEnded = now;
+        judgeCrash(now, outbox);
+        m_processEnded.reset(); // calls that are lost from now on ran in the new process
     }
     m_spread.setService(m_service);
     std::vector<GateWork> works = m_queue.takeAll();
@@ -290,24 +295,25 @@
     const auto *failure = std::get_if<BackendFailure>(&result.result);
     const bool isLost = failure != nullptr && !found->second.isCancelled
         && (*failure == BackendFailure::Lost || *failure == BackendFailure::PartialAnswer);
-    if (isLost && !m_lastCrashCalls.contains(result.id))
-        onCrash(now, outbox);
     const Call call = std::move(found->second);
     m_running.erase(found);
     const bool wasInCrash = m_lastCrashCalls.erase(result.id) > 0;
     const bool wasAlone = m_alone == result.id;
     if (wasAlone)
         m_alone.reset();
-    // It completed although another connection was lost, so it did not end the process.
-    if (wasInCrash && failure == nullptr)
+    const bool isSuspect = m_containment.standingOf(call.work.fingerprint, now)
+        != CrashContainment::Standing::Normal;
+    if (isLost && !wasInCrash)
+        onLost(call, wasAlone, now, outbox);
+    if (failure == nullptr)
         m_containment.onSurvived(call.work.fingerprint);
     if (failure == nullptr && std::get<Answered>(result.result).status < 500)
         m_serviceTimes.record(call.work.request.route, now - call.started);
 
     Outcome outcome = failure != nullptr ? outcomeOf(*failure)
                                          : Outcome(std::get<Answered>(std::move(result.result)));
-    const bool isExplained = isLost && m_isLastCrashExplained;
-    settle(call.work, call.hasListener, outcome, isExplained, now, outbox);
+    const bool isExplained = isSuspect || (wasInCrash && m_isLastCrashExplained);
+    settle(call.work, call.hasListener, outcome, isLost && isExplained, now, outbox);
     if (wasAlone)
         endIsolation(call, failure == nullptr, now, outbox);
 }
@@ -318,32 +324,52 @@
     if (isReachable && !m_isReachable)
         m_isBackendLeaving = false;
     m_isReachable = isReachable;
-    if (isReachable)
+    if (isReachable) {
+        m_processEnded.reset();
         return;
-    const bool isAftermath = m_lastCrash && now - *m_lastCrash < crashAftermath;
-    // A server that stops in a planned way closes its listener while it finishes its calls. For a
-    // suspect that runs alone, only its own lost connection counts, because that proves its guilt.
-    if (!m_running.empty() && !m_alone && !isAftermath)
-        onCrash(now, outbox);
+    }
+    m_processEnded = now;
+    judgeCrash(now, outbox);
     // Refused now rather than at their deadlines, so that they can run at another gate.
     refuseAll(m_queue.takeAll(), NotRunReason::Unreachable, now, outbox);
     refuseAll(m_late.takeAll(), NotRunReason::Unreachable, now, outbox);
     refuseAll(m_isolated.takeAll(), NotRunReason::Unreachable, now, outbox);
 }
 
-void Gate::onCrash(TimePoint now, Outbox<Output> &outbox)
+// A lost connection alone is no crash: backend servers also reset connections for other reasons.
+void Gate::onLost(const Call &call, bool wasAlone, TimePoint now, Outbox<Output> &outbox)
+{
+    if (m_losses.size() == maxLosses)
+        m_losses.pop_front();
+    m_losses.push_back({ call.work.fingerprint, call.started, now, wasAlone });
+    judgeCrash(now, outbox);
+}
+
+// Declares a crash when calls were lost and the process has ended at about the same time. A server
+// that stops in a planned way closes its listener, but loses no calls.
+void Gate::judgeCrash(TimePoint now, Outbox<Output> &outbox)
 {
+    std::erase_if(m_losses, [now](const Loss &loss) { return now - loss.time > crashEvidence; });
+    if (m_losses.empty() || !m_processEnded || now - *m_processEnded > crashEvidence)
+        return;
+    m_processEnded.reset();
     ++m_counts.crashes;
-    m_lastCrash = now;
-    m_lastCrashCalls.clear();
     std::set<Digest> inFlight;
+    std::optional<Digest> alone;
+    for (const Loss &loss : m_losses) {
+        inFlight.insert(loss.fingerprint);
+        if (loss.wasAlone)
+            alone = loss.fingerprint;
+    }
+    // Calls that met a backend server that was already down had no part in its crash.
+    m_lastCrashCalls.clear();
     for (const auto &[id, call] : m_running) {
+        if (call.started > m_losses.front().time)
+            continue;
         m_lastCrashCalls.insert(id);
         inFlight.insert(call.work.fingerprint);
     }
-    std::optional<Digest> alone;
-    if (m_alone)
-        alone = m_running.at(*m_alone).work.fingerprint;
+    m_losses.clear();
     const CrashContainment::Verdict verdict = m_containment.onCrash(inFlight, alone, now);
     m_isLastCrashExplained = verdict.isExplained;
     for (const Digest fingerprint : verdict.proved)
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -14,6 +14,9 @@
 // a few retries at a time and lets the ratio refill them.
 constexpr double retryBurst = 4.0;
 constexpr double firstRetries = 2.0;
+// Many backend servers may end at once, with hundreds of requests in flight; one crash must not
+// make them all run alone. The next crash, at any gate, leaves those that were in flight twice.
+constexpr std::uint32_t crashesToSuspect = 2;
 // Bytes between failure domains are the dearest thing that a request uses; a larger request only
 // leaves its own for lack of servers.
 constexpr ByteCount spillBytesPerWeight { 2000 };
@@ -39,7 +42,7 @@
     limits.needsAnnouncement = true;
     limits.rejectsEarly = true;
     limits.queue.isFair = true;
-    limits.crashes.isEnabled = false;
+    limits.crashes.crashesToSuspect = crashesToSuspect;
     return limits;
 }
 
--- a/tests/crashcontainmenttest.cpp
+++ b/tests/crashcontainmenttest.cpp
@@ -140,5 +140,53 @@
     CHECK(containment.quarantinedCount() <= 9);
 }
 
+// Guards against a standstill of all gates after one failure of many backend servers.
+TEST_CASE_METHOD(CrashContainmentFixture, "CrashContainment_twoCrashesNeeded_oneChangesNothing")
+{
+    CrashContainment::Limits limits;
+    limits.crashesToSuspect = 2;
+    CrashContainment careful(limits);
+    (void)careful.onCrash(digests({ 1, 2 }), std::nullopt, now);
+    CHECK(careful.standingOf(Digest(1), now) == Standing::Normal);
+    careful.onSurvived(Digest(2));
+    now += seconds(5);
+    (void)careful.onCrash(digests({ 1, 2 }), std::nullopt, now);
+    CHECK(careful.standingOf(Digest(1), now) == Standing::Suspect);
+    CHECK(careful.standingOf(Digest(2), now) == Standing::Normal);
+}
+
+// Guards against a cause that has crashed several servers, each of them only once.
+TEST_CASE_METHOD(CrashContainmentFixture, "CrashContainment_crashAtAnotherGate_countsOnceHere")
+{
+    CrashContainment::Limits limits;
+    limits.crashesToSuspect = 2;
+    CrashContainment careful(limits);
+    const QuarantineNotice notice { ServiceName("orders"),
+                                    { { Digest(1), minutes(5), false, 1 } } };
+    CHECK(careful.learn(notice, now).size() == 1);
+    CHECK(careful.learn(notice, now).empty());
+    CHECK(careful.standingOf(Digest(1), now) == Standing::Normal);
+    const auto verdict = careful.onCrash(digests({ 1 }), std::nullopt, now);
+    CHECK(careful.standingOf(Digest(1), now) == Standing::Suspect);
+    REQUIRE(verdict.entries.size() == 1);
+    CHECK(verdict.entries.front().crashes == 2);
+    CrashContainment other(limits);
+    CHECK(other.learn({ ServiceName("orders"), verdict.entries }, now).size() == 1);
+    CHECK(other.standingOf(Digest(1), now) == Standing::Suspect);
+}
+
+// Guards against gates that tell each other of a cleared request without end.
+TEST_CASE_METHOD(CrashContainmentFixture, "CrashContainment_noticeOfClearedRequest_isNoNews")
+{
+    const QuarantineNotice notice { ServiceName("orders"),
+                                    { { Digest(1), minutes(5), false, 1 } } };
+    CHECK(containment.learn(notice, now).size() == 1);
+    containment.onSurvived(Digest(1));
+    CHECK(containment.learn(notice, now).empty());
+    CHECK(standing(1) == Standing::Normal);
+    (void)containment.onCrash(digests({ 1 }), std::nullopt, now);
+    CHECK(standing(1) == Standing::Suspect);
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/gatecrashtest.cpp
+++ b/tests/gatecrashtest.cpp
@@ -195,5 +195,94 @@
     CHECK(gate.containment().quarantinedCount() == 0);
 }
 
+// Guards against popular content that is quarantined because backend servers reset connections.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_connectionsLostWhileServerLives_suspectsNothing")
+{
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        send(request(id, "popular"));
+        fail(id, BackendFailure::Lost);
+        CHECK_FALSE(isMarked(id));
+    }
+    CHECK(gate.counts().crashes == 0);
+    CHECK(gate.containment().suspectCount() == 0);
+    CHECK(gate.containment().quarantinedCount() == 0);
+}
+
+// Guards against a cause that stays unknown when the refused connection is seen first.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_unreachableBeforeCallIsLost_isOneCrashOfAllInFlight")
+{
+    send(request(1, "bad"));
+    send(request(2, "good"));
+    process(BackendReachable { false });
+    CHECK(gate.counts().crashes == 0);
+    fail(1, BackendFailure::Lost);
+    fail(2, BackendFailure::Lost);
+    CHECK(gate.counts().crashes == 1);
+    CHECK(gate.containment().suspectCount() == 2);
+}
+
+// Guards against an innocent request whose connection was reset long before the crash.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_connectionLostLongBefore_isNoPartOfTheCrash")
+{
+    send(request(1, "early"));
+    fail(1, BackendFailure::Lost);
+    pass(milliseconds(1500));
+    send(request(2, "bad"));
+    crash({ 2 });
+    CHECK(gate.counts().crashes == 1);
+    CHECK(gate.containment().suspectCount() == 1);
+}
+
+// Guards against calls that are sent to a process that has ended and are blamed for it.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_callStartedAfterTheLoss_isNoSuspect")
+{
+    send(request(1, "bad"));
+    fail(1, BackendFailure::Lost);
+    pass(milliseconds(1));
+    send(request(2, "late"));
+    process(BackendReachable { false });
+    fail(2, BackendFailure::Lost);
+    CHECK(gate.counts().crashes == 1);
+    CHECK(gate.containment().suspectCount() == 1);
+}
+
+// Guards against a process that is back before the monitor has noticed its end.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_newIncarnationAfterLoss_isACrash")
+{
+    const auto announce = [this](const char *server) {
+        BackendAnnounced announced;
+        announced.server = InstanceId(server);
+        announced.service = ServiceName("orders");
+        announced.slots = 2;
+        announced.isAccepting = true;
+        process(std::move(announced));
+    };
+    announce("a");
+    ForwardRequest bad = request(1, "bad");
+    bad.service = ServiceName("orders");
+    send(bad);
+    fail(1, BackendFailure::Lost);
+    announce("b");
+    CHECK(gate.counts().crashes == 1);
+    CHECK(gate.containment().suspectCount() == 1);
+    bad.id = RequestId(2);
+    bad.content.body = "other";
+    send(bad);
+    fail(2, BackendFailure::Lost);
+    CHECK(gate.counts().crashes == 1);
+}
+
+// Guards against popular content that must run alone at every gate after a crash beside it.
+TEST_CASE_METHOD(GateCrashFixture, "GateCrash_contentAnsweredElsewhereInTime_isCleared")
+{
+    send(request(1, "popular"));
+    send(request(2, "popular"));
+    process(BackendReachable { false });
+    fail(1, BackendFailure::Lost);
+    CHECK(gate.containment().suspectCount() == 1);
+    answer(2);
+    CHECK(gate.containment().suspectCount() == 0);
+}
+
 } // namespace
 } // namespace camphorreach
