--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -95,6 +95,8 @@
     static constexpr int missedHeartbeats = 4;
     // Guests stop sending after two unanswered questions for readiness, a second apart.
     static constexpr Duration serveOn = std::chrono::milliseconds(2500);
+    // What is left of the grace for the end of the threads, on a machine with a tenth of a core.
+    static constexpr Duration leaveTime = std::chrono::milliseconds(600);
 
     using Store = typename Dialect::Store;
     using StoreEndpoint = BasicPlatformEndpoint<Store>;
@@ -447,7 +449,7 @@
 void MeshNode<Dialect>::drainAndStop()
 {
     m_log.info("event=stop-asked");
-    const TimePoint end = SteadyClock().now() + m_settings.stopTime;
+    const TimePoint end = SteadyClock().now() + m_settings.stopGrace - leaveTime;
     m_isStopping = true;
     m_isReady = false;
     m_membership.ring().push(DrainStarted {});
--- a/include/camphorreach/impl/tomlreader.h
+++ b/include/camphorreach/impl/tomlreader.h
@@ -27,6 +27,9 @@
     [[nodiscard]] std::string text(std::string_view key, bool isRequired = true);
     [[nodiscard]] std::int64_t integer(std::string_view key, std::int64_t lowest,
                                        std::int64_t highest, std::int64_t fallback);
+    /// An integer or a number with a fraction.
+    [[nodiscard]] double number(std::string_view key, double lowest, double highest,
+                                double fallback);
     [[nodiscard]] NetAddress address(std::string_view key);
     [[nodiscard]] std::vector<NetAddress> addresses(std::string_view key);
     /// The sub-table, or an empty one with a finding when it is missing.
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -18,8 +18,9 @@
 /// What all nodes together may send beyond the first attempt of each request.
 struct RetrySettings
 {
-    Share ratio = Share::fromFraction(0.1); ///< Of the requests for a service.
-    std::uint32_t extra = 10; ///< On top, in each window, over all nodes.
+    Share ratio = Share::fromFraction(0.1); ///< Earned by the requests for a service.
+    Share limit = Share::fromFraction(0.2); ///< Most for the requests for a service in a window.
+    std::uint32_t extra = 10; ///< On top of the limit, in each window.
     Duration window = std::chrono::seconds(10);
 };
 
@@ -36,7 +37,8 @@
     NetAddress platform;
     std::vector<NetAddress> seeds; ///< Nodes to join through; usually none.
     Duration heartbeat = std::chrono::seconds(2); ///< Between announcements.
-    Duration stopTime = std::chrono::seconds(5); ///< From the request to stop to the end.
+    /// From the request to stop until the platform ends the process.
+    Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
     std::uint32_t memoryMb = 256; ///< Bounds what is buffered.
     LogLevel logLevel = LogLevel::Info;
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -18,6 +18,15 @@
 // About the time in which a gate frees a slot.
 constexpr Duration leastReturn = std::chrono::milliseconds(60);
 
+// Each node stands in front of one backend server.
+std::size_t nodesIn(const EndpointTable &table)
+{
+    std::size_t count = 0;
+    for (const auto &[service, endpoints] : table.services)
+        count += endpoints.size();
+    return count;
+}
+
 } // namespace
 
 template <BalancingPolicy Policy>
@@ -46,6 +55,7 @@
                    [&](LinkDown &down) { onLinkDown(down, now, outbox); },
                    [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now, outbox); },
                    [&](EndpointsChanged &changed) {
+                       m_retries.setNodes(nodesIn(*changed.table));
                        m_placement.update(std::move(changed.table), now);
                        dispatchAll(now, outbox);
                    },
@@ -273,7 +283,8 @@
 {
     const bool isOwnRetry = pending.attempts > 0;
     if (!isOwnRetry && pending.isFirstOfChain())
-        m_retries.deposit(pending.serviceName, pending.request.depth, pending.service->retryBudget);
+        m_retries.deposit(pending.serviceName, pending.request.depth, pending.service->retryBudget,
+                          now);
     ++pending.attempts;
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
@@ -318,7 +329,7 @@
         if (const auto *unknown = std::get_if<OutcomeUnknown>(&outcome))
             pending.unknown = unknown->reason;
         if (hasFailed && now < pending.deadline && pending.mayRunAgain()
-            && m_retries.tryTake(service, pending.request.depth)) {
+            && m_retries.tryTake(service, pending.request.depth, now)) {
             if (answered != nullptr)
                 pending.lastAnswer = *answered;
             pending.placement.avoided.push_back(where.peer);
@@ -355,7 +366,7 @@
     const bool isFirst = pending.refusals == 1 && !pending.hasHome();
     if (isFirst
         && (notRun.reason == NotRunReason::Draining
-            || m_retries.tryTake(pending.serviceName, pending.request.depth)))
+            || m_retries.tryTake(pending.serviceName, pending.request.depth, now)))
         return place(pending, now, outbox);
     wait(pending, now + backoff(pending.refusals), now, outbox);
 }
@@ -375,7 +386,7 @@
     // Only what the backend server itself refused has cost it work.
     const bool hasCost = notRun.reason == NotRunReason::BackendRefused;
     if (isFinalHere || now >= pending.deadline || pending.refusals >= m_options.maxRefusals
-        || (hasCost && !m_retries.tryTake(pending.serviceName, pending.request.depth)))
+        || (hasCost && !m_retries.tryTake(pending.serviceName, pending.request.depth, now)))
         return finish(pending.request.id, notRun, now, outbox);
     place(pending, now, outbox);
 }
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::int64_t longestMs = 3'600'000;
+constexpr double shortestSeconds = 0.1;
+constexpr double longestSeconds = 3600;
 constexpr std::int64_t maxMemoryMb = 1'000'000;
 
 Duration readMs(impl::TomlReader &reader, std::string_view key, Duration fallback)
@@ -18,6 +20,14 @@
     return milliseconds(reader.integer(key, 1, longestMs, fallbackMs));
 }
 
+Duration readSeconds(impl::TomlReader &reader, std::string_view key, Duration fallback)
+{
+    using Seconds = std::chrono::duration<double>;
+    const double seconds
+        = reader.number(key, shortestSeconds, longestSeconds, Seconds(fallback).count());
+    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
+
 void readInstance(SidecarSettings &settings, impl::TomlReader reader)
 {
     settings.instance = InstanceId(reader.text("name"));
@@ -25,7 +35,7 @@
     settings.region = reader.text("region", false);
     settings.memoryMb = static_cast<std::uint32_t>(
         reader.integer("memory-mb", 16, maxMemoryMb, settings.memoryMb));
-    settings.stopTime = readMs(reader, "stop-ms", settings.stopTime);
+    settings.stopGrace = readSeconds(reader, "stop-grace-s", settings.stopGrace);
     reader.reportUnknown();
 }
 
@@ -49,12 +59,11 @@
 void readRetries(SidecarSettings &settings, impl::TomlReader reader)
 {
     RetrySettings &retries = settings.retries;
-    const auto thousandths
-        = reader.integer("ratio-thousandths", 0, 1000, retries.ratio.millionths() / 1000);
-    retries.ratio = Share::fromMillionths(static_cast<std::uint32_t>(thousandths) * 1000);
+    retries.ratio = Share::fromFraction(reader.number("ratio", 0, 1, retries.ratio.fraction()));
+    retries.limit = Share::fromFraction(reader.number("limit", 0, 1, retries.limit.fraction()));
     retries.extra = static_cast<std::uint32_t>(
         reader.integer("extra", 0, std::numeric_limits<std::int32_t>::max(), retries.extra));
-    retries.window = readMs(reader, "window-ms", retries.window);
+    retries.window = readSeconds(reader, "window-s", retries.window);
     reader.reportUnknown();
 }
 
--- a/src/tree/tomlreader.cpp
+++ b/src/tree/tomlreader.cpp
@@ -1,6 +1,7 @@
 // Checked access to TOML tables.
 #include <camphorreach/impl/tomlreader.h>
 
+#include <sstream>
 #include <utility>
 
 namespace camphorreach::impl {
@@ -75,6 +76,25 @@
     return *value;
 }
 
+double TomlReader::number(std::string_view key, double lowest, double highest, double fallback)
+{
+    const toml::node *node = find(key);
+    if (node == nullptr)
+        return fallback;
+    const auto value = node->value<double>();
+    if (!value || !node->is_number()) {
+        report(key, "must be a number");
+        return fallback;
+    }
+    if (!(*value >= lowest && *value <= highest)) {
+        std::ostringstream text;
+        text << "must be from " << lowest << " to " << highest << ", is " << *value;
+        report(key, text.str());
+        return fallback;
+    }
+    return *value;
+}
+
 NetAddress TomlReader::address(std::string_view key)
 {
     const std::size_t before = m_findings.size();
--- /dev/null
+++ b/tests/sidecarsettingstest.cpp
@@ -0,0 +1,70 @@
+// Tests of the settings of a node that follows the platform's store.
+#include <camphorreach/sidecarsettings.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+class SidecarSettingsFixture
+{
+protected:
+    // Valid settings with these lines in the tables "instance" and "retries".
+    static std::string settingsWith(const std::string &instance, const std::string &retries)
+    {
+        return "[instance]\nname = \"n1\"\nfailure-domain = \"arima\"\n" + instance
+            + "\n[listen]\nguest = \"127.0.0.1:1\"\npeer = \"127.0.0.1:2\"\n"
+              "ready = \"127.0.0.1:3\"\nannouncements = \"127.0.0.1:4\"\n"
+              "[backend-server]\naddress = \"127.0.0.1:5\"\nservice = \"orders\"\n"
+              "[platform]\naddress = \"127.0.0.1:6\"\n[peers]\nseeds = []\n[retries]\n"
+            + retries + "\n";
+    }
+
+    static std::string findingsOf(const std::string &text)
+    {
+        const auto settings = parseSidecarSettings(text, "node.toml");
+        return isOk(settings) ? "" : toText(errorOf(settings).findings);
+    }
+};
+
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_onlyWhatIsRequired_takesDefaults")
+{
+    const auto settings = parseSidecarSettings(settingsWith("", ""), "node.toml");
+    REQUIRE(isOk(settings));
+    CHECK(valueOf(settings).stopGrace == std::chrono::seconds(6));
+    CHECK(valueOf(settings).retries.limit == Share::fromFraction(0.2));
+}
+
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_numbersWithAndWithoutFraction_areRead")
+{
+    const auto settings
+        = parseSidecarSettings(settingsWith("stop-grace-s = 4.5\nmemory-mb = 160",
+                                            "ratio = 0.07\nlimit = 1\nextra = 64\nwindow-s = 10"),
+                               "node.toml");
+    REQUIRE(isOk(settings));
+    const SidecarSettings &read = valueOf(settings);
+    CHECK(read.stopGrace == milliseconds(4500));
+    CHECK(read.memoryMb == 160);
+    CHECK(read.retries.ratio == Share::fromFraction(0.07));
+    CHECK(read.retries.limit == Share::all());
+    CHECK(read.retries.extra == 64);
+    CHECK(read.retries.window == std::chrono::seconds(10));
+}
+
+// Guards against a misspelt key or a number of another unit that is taken silently.
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_wrongValues_areAllReported")
+{
+    const std::string findings = findingsOf(
+        settingsWith("stop-grace-s = true", "ratio = 1.5\nlimit = nan\nwindow-ms = 10"));
+    CHECK(findings.find("instance.stop-grace-s") != std::string::npos);
+    CHECK(findings.find("retries.ratio") != std::string::npos);
+    CHECK(findings.find("retries.limit") != std::string::npos);
+    CHECK(findings.find("retries.window-ms") != std::string::npos);
+}
+
+} // namespace
+} // namespace camphorreach
