Keep an acknowledged leaving although the node does not know the server yet

A node had just restarted when its backend server took its leave, without its birth. The node knew no start of that server, so the departure bound none, and an announcement that arrived 2.1 s late brought the server back. Seen in the same code: a draining announcement that comes before the configuration is acknowledged and then dropped, because its service is not known yet.

Change: a departure without a birth binds every start until it was heard. Announcements that come before the first configuration are judged when it is there.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -377,10 +377,16 @@
         m_log.warning("event=announcement-unreadable reason=\"" + error->text + "\"");
         return { 400, {}, error->text + "\n" };
     }
-    const bool isTaken = std::visit(
-        Overloaded { [](Error &) { return false; },
-                     [this](auto &part) { return m_local.ring().tryPush(std::move(part)); } },
-        message);
+    const bool isTaken
+        = std::visit(Overloaded { [](Error &) { return false; },
+                                  [this](BackendAnnouncement &announcement) {
+                                      return m_local.ring().tryPush(std::move(announcement));
+                                  },
+                                  [this](BackendDeparture &departure) {
+                                      departure.heardAt = BackendBirth(wallTimeNow().value());
+                                      return m_local.ring().tryPush(std::move(departure));
+                                  } },
+                     message);
     const HttpHeader jsonType { "Content-Type", "application/json" };
     return isTaken ? HttpResponse { 200, { jsonType }, "{}" }
                    : HttpResponse { 503, {}, "the node is busy or stopping\n" };
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -41,6 +41,8 @@
 {
     InstanceId server;
     std::optional<BackendBirth> born;
+    /// When it was heard, by the clock of the machine that both run on.
+    BackendBirth heardAt {};
 };
 
 /// The address of the backend server and its service, as the settings name them.
@@ -76,6 +78,7 @@
 
     void onAnnouncement(BackendAnnouncement &&announcement, TimePoint now);
     void onDeparture(const BackendDeparture &departure);
+    void onSnapshot(SnapshotChanged &&changed, TimePoint now);
     [[nodiscard]] bool isKnownService(const ServiceName &service) const;
     [[nodiscard]] bool hasDeparted(const BackendAnnouncement &announcement) const;
     void publish(TimePoint now, Outbox<Output> &outbox);
@@ -87,6 +90,7 @@
         m_latest; // of the youngest start; its number never decreases
     TimePoint m_heardAt {}; // of m_latest
     std::deque<Departed> m_departed; // at most maxDeparted
+    std::deque<BackendAnnouncement> m_unjudged; // before the first snapshot; at most maxUnjudged
     std::optional<BackendAnnounced> m_published;
 };
 
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxDeparted = 16; // one at a time runs beside a node
+// A node without a configuration hears about one announcement a second; the latest ones say all.
+constexpr std::size_t maxUnjudged = 64;
 
 } // namespace
 
@@ -26,7 +28,7 @@
                    },
                    [&](BackendDeparture &departure) { onDeparture(departure); },
                    [&](LocalServerSettings &settings) { m_settings = std::move(settings); },
-                   [&](SnapshotChanged &changed) { m_snapshot = std::move(changed.snapshot); },
+                   [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now); },
                },
                input);
     publish(now, outbox);
@@ -34,9 +36,17 @@
 
 void LocalServer::onAnnouncement(BackendAnnouncement &&announcement, TimePoint now)
 {
-    if (announcement.address != m_settings.address || !isKnownService(announcement.service)
-        || hasDeparted(announcement))
+    if (announcement.address != m_settings.address || hasDeparted(announcement))
         return;
+    if (!isKnownService(announcement.service)) {
+        // It has been acknowledged, so it must count once the services are known.
+        if (m_snapshot)
+            return;
+        if (m_unjudged.size() == maxUnjudged)
+            m_unjudged.pop_front();
+        m_unjudged.push_back(std::move(announcement));
+        return;
+    }
     if (m_latest) {
         const auto place
             = [](const BackendAnnouncement &one) { return std::tie(one.born, one.number); };
@@ -54,7 +64,10 @@
 {
     const bool isLatest = m_latest && m_latest->server == departure.server
         && (!departure.born || *departure.born >= m_latest->born);
-    const BackendBirth born = departure.born.value_or(isLatest ? m_latest->born : BackendBirth());
+    // A node that has just started may not know which start takes its leave, and hear late
+    // announcements of it afterwards: all starts until now have left.
+    const BackendBirth born
+        = departure.born.value_or(isLatest ? m_latest->born : departure.heardAt);
     m_departed.push_back({ departure.server, born });
     if (m_departed.size() > maxDeparted)
         m_departed.pop_front();
@@ -62,6 +75,13 @@
         m_latest->isDraining = true;
 }
 
+void LocalServer::onSnapshot(SnapshotChanged &&changed, TimePoint now)
+{
+    m_snapshot = std::move(changed.snapshot);
+    for (BackendAnnouncement &announcement : std::exchange(m_unjudged, {}))
+        onAnnouncement(std::move(announcement), now);
+}
+
 // Another writer may announce a service that nobody has configured.
 bool LocalServer::isKnownService(const ServiceName &service) const
 {
--- a/tests/localservertest.cpp
+++ b/tests/localservertest.cpp
@@ -95,7 +95,7 @@
 TEST_CASE_METHOD(LocalServerFixture, "LocalServer_departure_bindsUntilANewStart")
 {
     process(announcement(1));
-    process(BackendDeparture { InstanceId("i-1"), std::nullopt });
+    process(BackendDeparture { InstanceId("i-1"), std::nullopt, BackendBirth(5000) });
     CHECK_FALSE(isAccepting());
     process(announcement(2));
     CHECK_FALSE(isAccepting());
@@ -145,5 +145,36 @@
     CHECK(published == 2);
 }
 
+// Guards against a late announcement that brings back a server whose leaving this node has
+// acknowledged before it knew the server (hunt-2585-27 of lysvaerk-mesh).
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_departureOfUnknownStart_bindsLateAnnouncements")
+{
+    process(BackendDeparture { InstanceId("i-1"), std::nullopt, BackendBirth(5000) });
+    pass(seconds(2));
+    process(announcement(40, 4900));
+    CHECK_FALSE(latest);
+    process(announcement(1, 5100)); // a new start under the same id
+    CHECK(isAccepting());
+}
+
+// Guards against an acknowledged leaving that is forgotten because the services are not known yet.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_drainingBeforeTheServicesAreKnown_countsLater")
+{
+    const auto of = [](BackendAnnouncement one) {
+        one.service = ServiceName("renamed");
+        return one;
+    };
+    process(of(draining(5)));
+    process(of(announcement(4)));
+    CHECK_FALSE(latest);
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->services.emplace(ServiceName("renamed"), ServicePolicy {});
+    process(SnapshotChanged { snapshot });
+    REQUIRE(latest);
+    CHECK_FALSE(isAccepting());
+    process(of(announcement(6)));
+    CHECK_FALSE(isAccepting());
+}
+
 } // namespace
 } // namespace camphorreach
