Let a node stop although a datagram has just been read

After the I/O thread has ended, the peer endpoint closes its sockets and runs the handlers that are left. The handler of a datagram that had been read went on with the next receive, which fails on a closed socket with an error other than "aborted", and so without end.

Ruled out: threads that wait for a full ring (a closed ring refuses pushes), and a limit of the drain (each wait ends at the grace).

Change: the handler checks that the socket is open, as those of the acceptors do.

--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -537,7 +537,8 @@
     m_datagrams.async_receive_from(
         asio::buffer(m_datagramBuffer), m_datagramSender,
         [self = shared_from_this()](ErrorCodeType error, std::size_t size) {
-            if (error == asio::error::operation_aborted)
+            // On a closed socket the next operation would fail at once, again and again.
+            if (error == asio::error::operation_aborted || !self->m_datagrams.is_open())
                 return;
             if (!error)
                 self->onDatagram(std::string_view(self->m_datagramBuffer.data(), size));
