Let three nodes of each failure domain watch the store, and the others hear from them

Change: the three first nodes of each failure domain watch. A node with news tells three near ones at once, and so does each that takes it over. The others read a stale copy every 5 s in case that no watcher reaches the store, and watch themselves when no node has told them anything for 4 s. Of several nodes that tell of the same news, one is asked.

Four new cases under virtual time.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -65,9 +65,14 @@
     void onMessage(PeerReceived<CatalogMessage> &received, TimePoint now, Outbox<Output> &outbox);
     void onAdvert(const NetAddress &from, const CatalogAdvert &advert, TimePoint now,
                   Outbox<Output> &outbox);
-    void apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox);
+    // Each returns whether it was news.
+    bool apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox);
     [[nodiscard]] bool apply(const RolloutOrder &order);
     void advertise(TimePoint now, Outbox<Output> &outbox);
+    void spread(Outbox<Output> &outbox);
+    void onEndpoints(const EndpointTable &table);
+    [[nodiscard]] bool isWatcher(TimePoint now) const;
+    void updateWatch(TimePoint now);
     void call(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox);
     void follow(Follower &follower, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] CatalogAdvert advert(bool isAnswer) const;
@@ -92,6 +97,10 @@
     std::vector<NetAddress> m_far; // all other nodes
     std::map<NetAddress, TimePoint> m_updated; // when a peer was last sent an update; bounded
     std::optional<TimePoint> m_nextAdvert;
+    bool m_isSelected = true; // watches the store for its failure domain
+    bool m_isWatching = true; // as last acted on
+    TimePoint m_heardPeer {}; // last message of another node
+    std::optional<TimePoint> m_asked; // when another node was last asked for what it has more
     std::uint64_t m_nextCall = 1;
     std::uint64_t m_failedCalls = 0;
 };
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -4,6 +4,7 @@
 #include <camphorreach/result.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace camphorreach {
@@ -13,6 +14,18 @@
 // counts as in touch 3 s after the store is back, and a change must be in force 2 s later; the
 // call's own timeout of 1.5 s is part of that.
 constexpr Duration watchTime = std::chrono::seconds(3);
+// Some nodes of each failure domain watch the store, and the others hear from them: so many that a
+// refusal of a third of the machines hardly ever meets all watchers of a region.
+constexpr std::ptrdiff_t watchersPerDomain = 3;
+// The others read the store this often, from stale copies, in case that no watcher reaches it.
+constexpr Duration backupInterval = std::chrono::seconds(5);
+// A node hears two adverts a second on average; without any for this time it is cut off from the
+// other nodes and watches the store itself.
+constexpr Duration peerSilence = std::chrono::seconds(4);
+// News go to so many nodes of the failure domain at once, and on from each of them.
+constexpr std::size_t spreadFanOut = 3;
+// Several nodes tell of the same news within milliseconds; one of them is asked for it.
+constexpr Duration askInterval = std::chrono::milliseconds(150);
 // Nodes are only listed to find those that gossip has lost, so it may be slow and stale.
 constexpr Duration listInterval = std::chrono::seconds(20);
 // Nodes that start together are entered within a second or two of each other.
@@ -41,22 +54,42 @@
         Overloaded {
             [&](StoreReply &reply) { onReply(reply, now, outbox); },
             [&](PeerReceived<CatalogMessage> &received) { onMessage(received, now, outbox); },
-            [&](EndpointsChanged &changed) {
-                m_near.clear();
-                m_far.clear();
-                for (const auto &[service, endpoints] : changed.table->services) {
-                    for (const Endpoint &endpoint : endpoints) {
-                        if (endpoint.peer != m_self.peer)
-                            (endpoint.domain == m_self.domain ? m_near : m_far)
-                                .push_back(endpoint.peer);
-                    }
-                }
-            },
+            [&](EndpointsChanged &changed) { onEndpoints(*changed.table); },
         },
         input);
     advance(now, outbox);
 }
 
+void Catalog::onEndpoints(const EndpointTable &table)
+{
+    m_near.clear();
+    m_far.clear();
+    for (const auto &[service, endpoints] : table.services) {
+        for (const Endpoint &endpoint : endpoints) {
+            if (endpoint.peer != m_self.peer)
+                (endpoint.domain == m_self.domain ? m_near : m_far).push_back(endpoint.peer);
+        }
+    }
+    const auto before = std::ranges::count_if(
+        m_near, [this](const NetAddress &peer) { return peer < m_self.peer; });
+    m_isSelected = before < watchersPerDomain;
+}
+
+bool Catalog::isWatcher(TimePoint now) const
+{
+    return m_isSelected || now - m_heardPeer >= peerSilence;
+}
+
+// A node that begins to watch must not wait for its next reading of a stale copy.
+void Catalog::updateWatch(TimePoint now)
+{
+    const bool watched = std::exchange(m_isWatching, isWatcher(now));
+    if (watched || !m_isWatching)
+        return;
+    for (Follower *follower : { &m_configuration, &m_rollouts })
+        follower->nextCall = std::min(follower->nextCall, now);
+}
+
 ConfigVersion Catalog::version() const noexcept
 {
     return m_config ? m_config->version : ConfigVersion();
@@ -111,9 +144,10 @@
 {
     follower.failures = 0;
     bool haveOrdersChanged = false;
+    bool isNews = false;
     for (StoreEntry &entry : entries.entries) {
         if (auto *config = std::get_if<std::shared_ptr<const MeshConfig>>(&entry.value)) {
-            apply(std::move(*config), outbox);
+            isNews = apply(std::move(*config), outbox) || isNews;
         } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
             haveOrdersChanged = apply(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
@@ -123,6 +157,8 @@
     }
     if (haveOrdersChanged)
         outbox.emit(OrdersChanged { orders() });
+    if (isNews || haveOrdersChanged)
+        spread(outbox);
     follower.nextCall = now;
     if (entries.hasMore && !entries.entries.empty()) {
         follower.after = entries.entries.back().name;
@@ -131,6 +167,8 @@
     follower.after.clear();
     if (follower.kind != StoreKind::Nodes) {
         follower.at = entries.at;
+        if (!isWatcher(now))
+            follower.nextCall = now + backupInterval;
         return;
     }
     const bool isAlone = m_known.empty();
@@ -159,6 +197,7 @@
 void Catalog::onMessage(PeerReceived<CatalogMessage> &received, TimePoint now,
                         Outbox<Output> &outbox)
 {
+    m_heardPeer = now;
     std::visit(
         Overloaded {
             [&](const CatalogAdvert &advert) { onAdvert(received.from, advert, now, outbox); },
@@ -166,9 +205,12 @@
                 bool haveOrdersChanged = false;
                 for (const RolloutOrder &order : update.orders)
                     haveOrdersChanged = apply(order) || haveOrdersChanged;
-                apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
+                const bool isNews
+                    = apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
                 if (haveOrdersChanged)
                     outbox.emit(OrdersChanged { orders() });
+                if (isNews || haveOrdersChanged)
+                    spread(outbox);
             },
         },
         received.message);
@@ -190,16 +232,19 @@
             m_updated.clear();
     }
     const bool hasLess = own.config < theirs.config || own.orders < theirs.orders;
-    if (hasLess && !theirs.isAnswer)
-        outbox.emit(PeerSend { from, Transport::Datagram, CatalogMessage(own) });
+    if (!hasLess || theirs.isAnswer || (m_asked && now - *m_asked < askInterval))
+        return;
+    m_asked = now;
+    outbox.emit(PeerSend { from, Transport::Datagram, CatalogMessage(own) });
 }
 
-void Catalog::apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox)
+bool Catalog::apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox)
 {
     if (config->version <= version())
-        return;
+        return false;
     m_config = std::move(config);
     outbox.emit(SnapshotChanged { snapshotOf(*m_config, m_options.retryBudget) });
+    return true;
 }
 
 bool Catalog::apply(const RolloutOrder &order)
@@ -215,6 +260,7 @@
 {
     if (!m_nextAdvert)
         m_nextAdvert = now + advertInterval;
+    updateWatch(now);
     for (Follower *follower : { &m_configuration, &m_rollouts, &m_nodes }) {
         if (!follower->call && now >= follower->nextCall)
             follow(*follower, now, outbox);
@@ -241,15 +287,24 @@
         return;
     }
     follower.call = StoreCallId(m_nextCall++);
-    if (follower.at)
+    if (follower.at && isWatcher(now))
         call(*follower.call, StoreFollow { follower.kind, *follower.at, watchTime }, outbox);
     else
         call(*follower.call,
              StoreList { follower.kind, follower.after,
-                         follower.kind == StoreKind::Nodes && !m_near.empty() },
+                         follower.at || (follower.kind == StoreKind::Nodes && !m_near.empty()) },
              outbox);
 }
 
+// Tells some nodes of the failure domain at once that there is news.
+void Catalog::spread(Outbox<Output> &outbox)
+{
+    std::vector<NetAddress> targets;
+    std::ranges::sample(m_near, std::back_inserter(targets), spreadFanOut, m_random);
+    for (const NetAddress &target : targets)
+        outbox.emit(PeerSend { target, Transport::Datagram, CatalogMessage(advert(false)) });
+}
+
 void Catalog::call(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox)
 {
     outbox.emit(StoreCall { id, std::move(operation) });
@@ -299,6 +354,8 @@
     if (!m_nextAdvert)
         return TimePoint {};
     TimePoint next = *m_nextAdvert;
+    if (!m_isWatching)
+        next = std::min(next, m_heardPeer + peerSilence);
     for (const Follower *follower : { &m_configuration, &m_rollouts, &m_nodes }) {
         if (!follower->call)
             next = std::min(next, follower->nextCall);
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -2,6 +2,7 @@
 #include <camphorreach/catalog.h>
 #include <camphorreach/result.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace camphorreach {
@@ -39,7 +40,7 @@
         return { { { "main", ObjectVersion(at), false, std::move(value) } }, ObjectVersion(at) };
     }
 
-    CatalogFixture()
+    explicit CatalogFixture(std::uint16_t port = 1) : catalog(endpoint("a", port), {}, random)
     {
         auto table = std::make_shared<EndpointTable>();
         table->services[ServiceName("orders")] = { endpoint("a", 1), endpoint("b", 2) };
@@ -106,7 +107,7 @@
     }
 
     RandomSource random { 1 };
-    Catalog catalog { endpoint("a", 1), {}, random };
+    Catalog catalog;
     TimePoint now { seconds(100) };
     std::vector<StoreCall> calls;
     std::vector<PeerSend> sends;
@@ -213,5 +214,92 @@
     CHECK(joined == std::vector<NetAddress> { { "127.0.0.1", 2 } });
 }
 
+class LargeDomainCatalogFixture : public CatalogFixture
+{
+protected:
+    // This node is the fifth of its failure domain.
+    LargeDomainCatalogFixture() : CatalogFixture(5)
+    {
+        auto table = std::make_shared<EndpointTable>();
+        for (std::uint16_t port = 1; port <= 9; ++port)
+            table->services[ServiceName("orders")].push_back(
+                endpoint("n" + std::to_string(port), port));
+        process(EndpointsChanged { table });
+        hear(0);
+    }
+
+    // An advert of another node with this version.
+    void hear(std::uint64_t version, std::uint16_t from = 1)
+    {
+        process(PeerReceived<CatalogMessage> {
+            { "127.0.0.1", from }, CatalogAdvert { ConfigVersion(version), {}, false } });
+    }
+
+    [[nodiscard]] std::size_t callCount(StoreKind kind) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(calls, [kind](const StoreCall &call) {
+            const auto *list = std::get_if<StoreList>(&call.operation);
+            const auto *follow = std::get_if<StoreFollow>(&call.operation);
+            return (list != nullptr && list->kind == kind)
+                || (follow != nullptr && follow->kind == kind);
+        }));
+    }
+};
+
+// Guards against calls to the store that grow with the number of nodes.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_othersWatch_readsStaleCopiesNowAndThen")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+    const std::size_t before = callCount(StoreKind::Configuration);
+    for (int i = 0; i < 9; ++i) {
+        pass(milliseconds(500));
+        hear(3);
+    }
+    CHECK(callCount(StoreKind::Configuration) == before);
+    pass(milliseconds(600));
+    REQUIRE(callCount(StoreKind::Configuration) == before + 1);
+    const StoreCall *list = lastCall<StoreList>(StoreKind::Configuration);
+    CHECK(std::get<StoreList>(list->operation).mayBeStale);
+}
+
+// Guards against a node that is cut off from the others and misses what changes.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_othersFallSilent_watchesTheStore")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    REQUIRE(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+    pass(seconds(4));
+    const StoreCall *follow = lastCall<StoreFollow>(StoreKind::Configuration);
+    REQUIRE(follow != nullptr);
+    CHECK(std::get<StoreFollow>(follow->operation).since == ObjectVersion(40));
+}
+
+// Guards against news that reaches the nodes which do not watch only with the next adverts.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_news_isToldToSomeNodesAtOnce")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    CHECK(sends.size() == 3);
+    sends.clear();
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    CHECK(versions.back() == 5);
+    CHECK(sends.size() == 3);
+    sends.clear();
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 3 }, CatalogUpdate { *config(5), {} } });
+    CHECK(sends.empty());
+}
+
+// Guards against one change that is sent whole by everyone who tells of it.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_severalTellOfTheSameNews_asksOne")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    sends.clear();
+    hear(4, 2);
+    hear(4, 3);
+    CHECK(sends.size() == 1);
+    pass(milliseconds(200)); // the one that was asked may have ended
+    hear(4, 3);
+    CHECK(sends.size() == 2);
+}
+
 } // namespace
 } // namespace camphorreach
