--- a/include/camphorreach/crashcontainment.h
+++ b/include/camphorreach/crashcontainment.h
@@ -12,8 +12,8 @@
 
 namespace camphorreach {
 
-/// Requests in flight at a crash become suspects, where it takes that many crashes after one more.
-/// A suspect that crashes the backend server while it runs alone is proved to be the cause and
+/// Requests that were in flight at a crash, or at several as the limits say, become suspects. A
+/// suspect that crashes the backend server while it runs alone is proved to be the cause and
 /// quarantined; one that is answered is cleared.
 class CrashContainment
 {
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -22,7 +22,7 @@
 // A node hears two adverts a second on average; without any for this time it is cut off from the
 // other nodes and watches the store itself.
 constexpr Duration peerSilence = std::chrono::seconds(4);
-// News go to so many nodes of the failure domain at once, and on from each of them.
+// Nodes of the failure domain that are told news at once; each of them tells as many.
 constexpr std::size_t spreadFanOut = 3;
 // Several nodes tell of the same news within milliseconds; one of them is asked for it.
 constexpr Duration askInterval = std::chrono::milliseconds(150);
