Let both kinds of node share one request path

Cause: the pipelines of the two nodes repeated the endpoints, the stages of router, gate and membership, where each message goes between them, the drain and the state dump.

Change: impl/requestpath.h holds these; what a node adds is reached through hooks. The router took an order to drain only to ignore it, so that input is gone. The state dump of each node gains the fields that only the other one had.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -3,24 +3,17 @@
 #pragma once
 
 #include <camphorreach/catalog.h>
-#include <camphorreach/gate.h>
 #include <camphorreach/impl/adminendpoint.h>
-#include <camphorreach/impl/backendendpoint.h>
-#include <camphorreach/impl/decisionlog.h>
-#include <camphorreach/impl/event.h>
-#include <camphorreach/impl/guestendpoint.h>
-#include <camphorreach/impl/peerendpoint.h>
 #include <camphorreach/impl/platformendpoint.h>
+#include <camphorreach/impl/requestpath.h>
 #include <camphorreach/localserver.h>
 #include <camphorreach/log.h>
-#include <camphorreach/membership.h>
 #include <camphorreach/rollouts.h>
-#include <camphorreach/router.h>
 #include <camphorreach/sidecarsettings.h>
-#include <camphorreach/stage.h>
 #include <camphorreach/store.h>
 
 #include <atomic>
+#include <boost/json/serialize.hpp>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -54,13 +47,9 @@
 };
 
 /// Parts of a mesh node that do not depend on the platform's dialect.
-[[nodiscard]] Endpoint endpointOf(const SidecarSettings &settings);
+[[nodiscard]] Endpoint selfOf(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
-[[nodiscard]] RandomSource seeded(const SidecarSettings &settings, std::uint64_t part);
-[[nodiscard]] std::string dumpOf(const Membership &membership);
-[[nodiscard]] std::string dumpOf(const MeshRouter &router);
-[[nodiscard]] std::string dumpOf(const Gate &gate);
 
 /// All threads and rings of one node.
 template <PlatformDialect Dialect>
@@ -81,9 +70,7 @@
 
 private:
     static constexpr std::size_t requestPlaces = 2048;
-    // Each request in flight yields at most one answer and one end of a link.
     static constexpr std::size_t maxInFlight = 2048;
-    static constexpr std::size_t answerPlaces = 2 * maxInFlight;
     static constexpr std::size_t controlPlaces = 1024;
     static constexpr std::size_t controlReserve = 64;
     static constexpr std::size_t maxGuestConnections = 2048;
@@ -98,16 +85,13 @@
     // What is left of the grace for the end of the threads, on a machine with a tenth of a core.
     static constexpr Duration leaveTime = std::chrono::milliseconds(600);
 
-    using Store = typename Dialect::Store;
-    using StoreEndpoint = BasicPlatformEndpoint<Store>;
+    using Path = RequestPath<MeshRouter, typename Dialect::Guests, typename Dialect::Backend>;
+    using StoreEndpoint = BasicPlatformEndpoint<typename Dialect::Store>;
 
-    [[nodiscard]] bool onGuestEvent(GuestEvent &&event);
-    [[nodiscard]] bool onPeerEvent(PeerEvent &&event);
-    void onBackendEvent(BackendEvent &&event);
+    [[nodiscard]] typename Path::Filters pathFilters();
+    [[nodiscard]] typename Path::Hooks pathHooks();
+    [[nodiscard]] bool onControlMessage(PeerEvent &&event);
     void onStoreReply(StoreUser user, StoreReply &&reply);
-    void onRouterOutput(MeshRouter::Output &&output);
-    void onGateOutput(Gate::Output &&output);
-    void onMembershipOutput(Membership::Output &&output);
     void onCatalogOutput(Catalog::Output &&output);
     void onRolloutsOutput(Rollouts::Output &&output);
     void onLocalOutput(LocalServer::Output &&output);
@@ -124,25 +108,17 @@
     std::atomic<bool> m_isStopping { false };
     std::mutex m_callerMutex; // guards m_caller
     ServiceName m_caller; // the service beside whose backend server requests begin
-    DecisionLog m_routerLog { "router", m_metrics }; // used by the routing thread
-    DecisionLog m_gateLog { "gate", m_metrics }; // used by the gate's thread
     // One engine for each stage, so that no two threads share one.
     RandomSource m_routerRandom;
     RandomSource m_membershipRandom;
     RandomSource m_catalogRandom;
     RandomSource m_gateRandom;
-    Stage<MeshRouter> m_router;
-    Stage<Gate> m_gate;
-    Stage<Membership> m_membership;
+    Path m_path;
     Stage<Catalog> m_catalog;
     Stage<Rollouts> m_rollouts;
     Stage<LocalServer> m_local;
-    BasicGuestEndpoint<typename Dialect::Guests> m_guests;
-    PeerEndpoint m_peers;
-    BasicBackendEndpoint<typename Dialect::Backend> m_backend;
     StoreEndpoint m_store;
     AdminEndpoint m_admin;
-    Event m_gateDrained; // set by the gate's thread
 };
 
 template <PlatformDialect Dialect>
@@ -150,27 +126,17 @@
     : m_settings(settings), m_caller(settings.backendServer.service),
       m_routerRandom(seeded(settings, 1)), m_membershipRandom(seeded(settings, 2)),
       m_catalogRandom(seeded(settings, 3)), m_gateRandom(seeded(settings, 4)),
-      m_router(
-          std::make_unique<MeshRouter>(settings.domain, maxInFlight, routerOptions(settings),
-                                       m_routerRandom),
-          [this](MeshRouter::Output &&output) { onRouterOutput(std::move(output)); },
-          requestPlaces + answerPlaces, answerPlaces),
-      m_gate(
-          std::make_unique<Gate>(gateLimits(settings), settings.backendServer.service,
-                                 settings.peerAddress, m_gateRandom),
-          [this](Gate::Output &&output) { onGateOutput(std::move(output)); },
-          requestPlaces + answerPlaces, answerPlaces),
-      m_membership(
-          std::make_unique<Membership>(endpointOf(settings), settings.seeds, m_membershipRandom),
-          [this](Membership::Output &&output) { onMembershipOutput(std::move(output)); },
-          controlPlaces, controlReserve),
+      m_path(settings, settings.backendServer.address,
+             { requestPlaces, maxInFlight, controlPlaces, controlReserve, maxGuestConnections,
+               maxBackendConnections, warmConnections },
+             pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(endpointOf(settings),
-                                    Catalog::Options { settings.retries.ratio }, m_catalogRandom),
+          std::make_unique<Catalog>(selfOf(settings), Catalog::Options { settings.retries.ratio },
+                                    m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlPlaces,
           controlReserve),
       m_rollouts(
-          std::make_unique<Rollouts>(endpointOf(settings), RolloutPolicy {}),
+          std::make_unique<Rollouts>(selfOf(settings), RolloutPolicy {}),
           [this](Rollouts::Output &&output) { onRolloutsOutput(std::move(output)); }, controlPlaces,
           controlReserve),
       m_local(
@@ -178,15 +144,6 @@
                                         missedHeartbeats * settings.heartbeat),
           [this](LocalServer::Output &&output) { onLocalOutput(std::move(output)); }, controlPlaces,
           controlReserve),
-      m_guests(
-          settings.guestAddress, maxGuestConnections,
-          [this](GuestEvent &&event) { return onGuestEvent(std::move(event)); }, m_metrics),
-      m_peers(
-          settings.peerAddress, [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); },
-          m_metrics),
-      m_backend(
-          settings.backendServer.address, maxBackendConnections, warmConnections,
-          [this](BackendEvent &&event) { onBackendEvent(std::move(event)); }, m_metrics),
       m_store(
           settings.platform,
           [this](StoreUser user, StoreReply &&reply) { onStoreReply(user, std::move(reply)); },
@@ -195,69 +152,47 @@
 { }
 
 template <PlatformDialect Dialect>
-bool MeshNode<Dialect>::onGuestEvent(GuestEvent &&event)
+typename MeshNode<Dialect>::Path::Filters MeshNode<Dialect>::pathFilters()
 {
-    return std::visit(Overloaded {
-                          [this](GuestRequest &request) {
-                              {
-                                  const std::lock_guard lock(m_callerMutex);
-                                  request.caller = m_caller;
-                              }
-                              return m_router.ring().tryPush(std::move(request));
-                          },
-                          [this](GuestGone &gone) { return m_router.ring().pushReserved(gone); },
-                      },
-                      event);
+    return { std::make_unique<MeshRouter>(m_settings.domain, maxInFlight, routerOptions(m_settings),
+                                          m_routerRandom),
+             std::make_unique<Gate>(gateLimits(m_settings), m_settings.backendServer.service,
+                                    m_settings.peerAddress, m_gateRandom),
+             std::make_unique<Membership>(selfOf(m_settings), m_settings.seeds,
+                                          m_membershipRandom) };
 }
 
 template <PlatformDialect Dialect>
-bool MeshNode<Dialect>::onPeerEvent(PeerEvent &&event)
+typename MeshNode<Dialect>::Path::Hooks MeshNode<Dialect>::pathHooks()
 {
-    return std::visit(
-        Overloaded {
-            [this](PeerReceived<ForwardAnswer> &answer) {
-                return m_router.ring().pushReserved(std::move(answer));
-            },
-            [this](LinkDown &down) { return m_router.ring().pushReserved(std::move(down)); },
-            [this](ForwardReceived &received) {
-                return m_gate.ring().tryPush(std::move(received));
-            },
-            [this](CancelReceived &cancel) { return m_gate.ring().pushReserved(cancel); },
-            [this](LinkClosed &closed) { return m_gate.ring().pushReserved(closed); },
-            [this](PeerReceived<MembershipMessage> &message) {
-                return m_membership.ring().tryPush(std::move(message));
-            },
-            [this](PeerReceived<CatalogMessage> &message) {
-                return m_catalog.ring().tryPush(std::move(message));
-            },
-            [this](PeerReceived<RolloutMessage> &message) {
-                return m_rollouts.ring().tryPush(std::move(message));
-            },
-            [this](PeerReceived<QuarantineMessage> &message) {
-                return m_gate.ring().tryPush(std::move(message));
-            },
-            // Of nodes that learn by leases and deltas; this one follows the store.
-            [](PeerReceived<ConfigMessage> &) { return false; },
-            [](PeerReceived<MoveMessage> &) { return false; },
+    return {
+        [this](GuestRequest &request) {
+            const std::lock_guard lock(m_callerMutex);
+            request.caller = m_caller;
         },
-        event);
+        [this](PeerEvent &&event) { return onControlMessage(std::move(event)); },
+        [this](RequestSample &&sample) {
+            if (!m_rollouts.ring().tryPush(std::move(sample)))
+                m_samplesDropped.add();
+        },
+        [this](const EndpointsChanged &changed) {
+            (void)m_catalog.ring().tryPush(changed); // the next repairs it
+            (void)m_rollouts.ring().tryPush(changed);
+        },
+        [this](bool isReachable) {
+            m_log.info(isReachable ? "event=backend-reachable" : "event=backend-unreachable");
+        },
+    };
 }
 
 template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onBackendEvent(BackendEvent &&event)
+bool MeshNode<Dialect>::onControlMessage(PeerEvent &&event)
 {
-    // A push into a reserve fails only when the ring is closed.
-    std::visit(
-        Overloaded {
-            [this](BackendResult &result) { (void)m_gate.ring().pushReserved(std::move(result)); },
-            [this](BackendReachable &reachable) {
-                m_log.info(reachable.isReachable ? "event=backend-reachable"
-                                                 : "event=backend-unreachable");
-                (void)m_gate.ring().pushReserved(reachable);
-                (void)m_membership.ring().pushReserved(reachable);
-            },
-        },
-        event);
+    if (auto *message = std::get_if<PeerReceived<CatalogMessage>>(&event))
+        return m_catalog.ring().tryPush(std::move(*message));
+    if (auto *message = std::get_if<PeerReceived<RolloutMessage>>(&event))
+        return m_rollouts.ring().tryPush(std::move(*message));
+    return false; // of nodes that learn by leases and deltas; this one follows the store
 }
 
 template <PlatformDialect Dialect>
@@ -270,88 +205,43 @@
 }
 
 template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onRouterOutput(MeshRouter::Output &&output)
+void MeshNode<Dialect>::onCatalogOutput(Catalog::Output &&output)
 {
     std::visit(
         Overloaded {
-            [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
-            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-            [this](RouterDecision &decision) { m_routerLog.write(decision, SteadyClock().now()); },
-            [this](RequestSample &sample) {
-                // The router never waits for another stage, so that no cycle can form.
-                if (!m_rollouts.ring().tryPush(std::move(sample)))
-                    m_samplesDropped.add();
+            [this](StoreCall &call) {
+                m_store.ring().push({ StoreUser::Catalog, std::move(call) });
             },
+            [this](PeerSend &send) { m_path.peers().ring().push(std::move(send)); },
+            [this](SnapshotChanged &changed) {
+                m_log.info("event=config-in-force version="
+                           + std::to_string(changed.snapshot->version.value())
+                           + " routes=" + std::to_string(changed.snapshot->hostRoutes.size()));
+                m_path.guests().setLimits(changed.snapshot->limits);
+                m_local.ring().push(changed);
+                m_path.router().ring().push(std::move(changed));
+                m_isReady = !m_isStopping;
+            },
+            [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
+            [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
         },
         output);
 }
 
 template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onGateOutput(Gate::Output &&output)
+void MeshNode<Dialect>::onRolloutsOutput(Rollouts::Output &&output)
 {
     std::visit(
         Overloaded {
-            [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
-            [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
-            [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
-            [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-            [this](GateDrained &) { m_gateDrained.set(); },
-            [this](GateDecision &decision) { m_gateLog.write(decision, SteadyClock().now()); },
+            [this](StoreCall &call) {
+                m_store.ring().push({ StoreUser::Rollouts, std::move(call) });
+            },
+            [this](PeerSend &send) { m_path.peers().ring().push(std::move(send)); },
+            [this](MoveSharesChanged &changed) { m_path.router().ring().push(std::move(changed)); },
         },
         output);
 }
 
-template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onMembershipOutput(Membership::Output &&output)
-{
-    std::visit(Overloaded {
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](EndpointsChanged &changed) {
-                       (void)m_catalog.ring().tryPush(changed); // the next change repairs it
-                       (void)m_rollouts.ring().tryPush(changed);
-                       m_gate.ring().push(changed);
-                       m_router.ring().push(std::move(changed));
-                   },
-               },
-               output);
-}
-
-template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onCatalogOutput(Catalog::Output &&output)
-{
-    std::visit(Overloaded {
-                   [this](StoreCall &call) {
-                       m_store.ring().push({ StoreUser::Catalog, std::move(call) });
-                   },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](SnapshotChanged &changed) {
-                       m_log.info("event=config-in-force version="
-                                  + std::to_string(changed.snapshot->version.value()) + " routes="
-                                  + std::to_string(changed.snapshot->hostRoutes.size()));
-                       m_guests.setLimits(changed.snapshot->limits);
-                       m_local.ring().push(changed);
-                       m_router.ring().push(std::move(changed));
-                       m_isReady = !m_isStopping;
-                   },
-                   [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
-                   [this](JoinPeers &join) { (void)m_membership.ring().tryPush(std::move(join)); },
-               },
-               output);
-}
-
-template <PlatformDialect Dialect>
-void MeshNode<Dialect>::onRolloutsOutput(Rollouts::Output &&output)
-{
-    std::visit(Overloaded {
-                   [this](StoreCall &call) {
-                       m_store.ring().push({ StoreUser::Rollouts, std::move(call) });
-                   },
-                   [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                   [this](MoveSharesChanged &changed) { m_router.ring().push(std::move(changed)); },
-               },
-               output);
-}
-
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onLocalOutput(LocalServer::Output &&output)
 {
@@ -363,9 +253,9 @@
         const std::lock_guard lock(m_callerMutex);
         m_caller = announced.service;
     }
-    m_membership.ring().push(SelfChanged { announced.service, announced.version, announced.slots,
-                                           announced.isAccepting });
-    m_gate.ring().push(std::move(announced));
+    m_path.membership().ring().push(SelfChanged { announced.service, announced.version,
+                                                  announced.slots, announced.isAccepting });
+    m_path.gate().ring().push(std::move(announced));
 }
 
 // The gate closes within the ring's delay, so the answer need not wait for it.
@@ -377,16 +267,12 @@
         m_log.warning("event=announcement-unreadable reason=\"" + error->text + "\"");
         return { 400, {}, error->text + "\n" };
     }
-    const bool isTaken
-        = std::visit(Overloaded { [](Error &) { return false; },
-                                  [this](BackendAnnouncement &announcement) {
-                                      return m_local.ring().tryPush(std::move(announcement));
-                                  },
-                                  [this](BackendDeparture &departure) {
-                                      departure.heardAt = BackendBirth(wallTimeNow().value());
-                                      return m_local.ring().tryPush(std::move(departure));
-                                  } },
-                     message);
+    if (auto *departure = std::get_if<BackendDeparture>(&message))
+        departure->heardAt = BackendBirth(wallTimeNow().value());
+    const bool isTaken = std::visit(
+        Overloaded { [](Error &) { return false; },
+                     [this](auto &part) { return m_local.ring().tryPush(std::move(part)); } },
+        message);
     const HttpHeader jsonType { "Content-Type", "application/json" };
     return isTaken ? HttpResponse { 200, { jsonType }, "{}" }
                    : HttpResponse { 503, {}, "the node is busy or stopping\n" };
@@ -420,25 +306,20 @@
 template <PlatformDialect Dialect>
 std::string MeshNode<Dialect>::dump() const
 {
-    const auto part = [](const auto &filter) { return dumpOf(filter); };
-    return "{\"instance\":\"" + m_settings.instance.value()
-        + "\",\"router\":" + m_router.inspect(part) + ",\"gate\":" + m_gate.inspect(part)
-        + ",\"members\":" + m_membership.inspect(part) + "}";
+    boost::json::object state = m_path.dump();
+    state["instance"] = m_settings.instance.value();
+    return boost::json::serialize(state);
 }
 
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::start()
 {
-    m_router.start();
-    m_gate.start();
-    m_membership.start();
+    m_path.startFilters();
     m_catalog.start();
     m_rollouts.start();
     m_local.start();
-    m_backend.start();
     m_store.start();
-    m_peers.start();
-    m_guests.start();
+    m_path.startEndpoints();
     m_admin.start();
     m_log.info("event=started instance=" + m_settings.instance.value()
                + " failure-domain=" + m_settings.domain.value());
@@ -458,19 +339,8 @@
     const TimePoint end = SteadyClock().now() + m_settings.stopGrace - leaveTime;
     m_isStopping = true;
     m_isReady = false;
-    m_membership.ring().push(DrainStarted {});
-    m_gate.ring().push(DrainStarted {});
-    const auto guestsClosed = std::make_shared<Event>();
-    m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
-    bool isWhole = guestsClosed->waitUntil(end);
-    isWhole = m_gateDrained.waitUntil(end) && isWhole;
-    // Links close last: each waits for the answers to all requests on it.
-    const auto peersClosed = std::make_shared<Event>();
-    m_peers.drain([peersClosed] { peersClosed->set(); });
-    isWhole = peersClosed->waitUntil(end) && isWhole;
-    if (!isWhole)
+    if (!m_path.drain(serveOn, end))
         m_log.warning("event=stop-cut-short");
-    m_membership.ring().push(NodeLeaving {});
     stop();
     m_log.info("event=stopped");
 }
@@ -479,15 +349,11 @@
 void MeshNode<Dialect>::stop()
 {
     m_admin.stop();
-    m_router.stop();
-    m_gate.stop();
-    m_membership.stop();
+    m_path.stopFilters();
     m_catalog.stop();
     m_rollouts.stop();
     m_local.stop();
-    m_guests.stop();
-    m_peers.stop();
-    m_backend.stop();
+    m_path.stopEndpoints();
     m_store.stop();
 }
 
--- /dev/null
+++ b/include/camphorreach/impl/requestpath.h
@@ -0,0 +1,270 @@
+// Request path: the stages and endpoints through which requests go, and membership. Every node has
+// them, whatever brings its configuration.
+#pragma once
+
+#include <camphorreach/clock.h>
+#include <camphorreach/gate.h>
+#include <camphorreach/impl/backendendpoint.h>
+#include <camphorreach/impl/decisionlog.h>
+#include <camphorreach/impl/event.h>
+#include <camphorreach/impl/guestendpoint.h>
+#include <camphorreach/impl/peerendpoint.h>
+#include <camphorreach/membership.h>
+#include <camphorreach/metrics.h>
+#include <camphorreach/processsettings.h>
+#include <camphorreach/router.h>
+#include <camphorreach/stage.h>
+
+#include <boost/json/object.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace camphorreach::impl {
+
+/// The endpoint that a process announces when it starts.
+[[nodiscard]] Endpoint endpointOf(const ProcessSettings &settings, const ServiceName &service);
+/// The engine of one \a part of a process; no two parts share one.
+[[nodiscard]] RandomSource seeded(const ProcessSettings &settings, std::uint64_t part);
+
+/// State dumps of filters.
+[[nodiscard]] boost::json::value dumpOf(const Router &router);
+[[nodiscard]] boost::json::value dumpOf(const MeshRouter &router);
+[[nodiscard]] boost::json::value dumpOf(const Gate &gate);
+[[nodiscard]] boost::json::value dumpOf(const Membership &membership);
+
+/// The threads and rings of the path. What its owner adds is reached through hooks, which run on
+/// the path's threads between start and stop.
+template <Filter R, GuestDialect Guests, BackendDialect Backend>
+class RequestPath
+{
+public:
+    struct Sizes
+    {
+        std::size_t requestPlaces = 0;
+        std::size_t maxInFlight = 0;
+        std::size_t controlPlaces = 0;
+        std::size_t controlReserve = 0;
+        std::size_t guestConnections = 0;
+        std::size_t backendConnections = 0;
+        std::size_t warmConnections = 0;
+    };
+
+    struct Filters
+    {
+        std::unique_ptr<R> router;
+        std::unique_ptr<Gate> gate;
+        std::unique_ptr<Membership> membership;
+    };
+
+    struct Hooks
+    {
+        /// Completes a request before it is routed.
+        std::function<void(GuestRequest &)> onRequest;
+        /// Takes a message that is none of the path's. False when its ring is full, or when this
+        /// kind of node does not use it.
+        std::function<bool(PeerEvent &&)> onControl;
+        /// Must not wait: the router never waits for another stage, so that no cycle can form.
+        std::function<void(RequestSample &&)> onSample;
+        std::function<void(const EndpointsChanged &)> onEndpoints;
+        std::function<void(bool)> onReachable;
+    };
+
+    /// Binds the listeners. Throws std::exception when an address is not available.
+    RequestPath(const ProcessSettings &settings, const NetAddress &backendServer,
+                const Sizes &sizes, Filters filters, Hooks hooks, MetricsRegistry &metrics)
+        : m_hooks(std::move(hooks)), m_routerLog("router", metrics), m_gateLog("gate", metrics),
+          m_router(
+              std::move(filters.router),
+              [this](typename R::Output &&output) { onRouterOutput(std::move(output)); },
+              sizes.requestPlaces + answerPlaces(sizes), answerPlaces(sizes)),
+          m_gate(
+              std::move(filters.gate),
+              [this](Gate::Output &&output) { onGateOutput(std::move(output)); },
+              sizes.requestPlaces + answerPlaces(sizes), answerPlaces(sizes)),
+          m_membership(
+              std::move(filters.membership),
+              [this](Membership::Output &&output) { onMembershipOutput(std::move(output)); },
+              sizes.controlPlaces, sizes.controlReserve),
+          m_guests(
+              settings.guestAddress, sizes.guestConnections,
+              [this](GuestEvent &&event) { return onGuestEvent(std::move(event)); }, metrics),
+          m_peers(
+              settings.peerAddress,
+              [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); }, metrics),
+          m_backend(
+              backendServer, sizes.backendConnections, sizes.warmConnections,
+              [this](BackendEvent &&event) { onBackendEvent(std::move(event)); }, metrics)
+    { }
+
+    [[nodiscard]] Stage<R> &router() noexcept { return m_router; }
+    [[nodiscard]] Stage<Gate> &gate() noexcept { return m_gate; }
+    [[nodiscard]] Stage<Membership> &membership() noexcept { return m_membership; }
+    [[nodiscard]] BasicGuestEndpoint<Guests> &guests() noexcept { return m_guests; }
+    [[nodiscard]] PeerEndpoint &peers() noexcept { return m_peers; }
+
+    void startFilters()
+    {
+        m_router.start();
+        m_gate.start();
+        m_membership.start();
+    }
+    void startEndpoints()
+    {
+        m_backend.start();
+        m_peers.start();
+        m_guests.start();
+    }
+
+    /// Announces that the node leaves, finishes what is in flight, and closes the connections of
+    /// guests after \a serveOn at the latest when they are idle. Returns whether nothing was left
+    /// at \a end.
+    [[nodiscard]] bool drain(Duration serveOn, TimePoint end)
+    {
+        m_membership.ring().push(DrainStarted {});
+        m_gate.ring().push(DrainStarted {});
+        const auto guestsClosed = std::make_shared<Event>();
+        m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
+        bool isWhole = guestsClosed->waitUntil(end);
+        isWhole = m_gateDrained.waitUntil(end) && isWhole;
+        // Links close last: each waits for the answers to all requests on it.
+        const auto peersClosed = std::make_shared<Event>();
+        m_peers.drain([peersClosed] { peersClosed->set(); });
+        isWhole = peersClosed->waitUntil(end) && isWhole;
+        m_membership.ring().push(NodeLeaving {});
+        return isWhole;
+    }
+
+    void stopFilters()
+    {
+        m_router.stop();
+        m_gate.stop();
+        m_membership.stop();
+    }
+    void stopEndpoints()
+    {
+        m_guests.stop();
+        m_peers.stop();
+        m_backend.stop();
+    }
+
+    [[nodiscard]] boost::json::object dump() const
+    {
+        const auto part = [](const auto &filter) { return dumpOf(filter); };
+        return { { "router", m_router.inspect(part) },
+                 { "gate", m_gate.inspect(part) },
+                 { "members", m_membership.inspect(part) } };
+    }
+
+private:
+    // Each request in flight yields at most one answer and one end of a link.
+    static std::size_t answerPlaces(const Sizes &sizes) { return 2 * sizes.maxInFlight; }
+
+    bool onGuestEvent(GuestEvent &&event)
+    {
+        return std::visit(
+            Overloaded {
+                [this](GuestRequest &request) {
+                    if (m_hooks.onRequest)
+                        m_hooks.onRequest(request);
+                    return m_router.ring().tryPush(std::move(request));
+                },
+                [this](GuestGone &gone) { return m_router.ring().pushReserved(gone); },
+            },
+            event);
+    }
+
+    bool onPeerEvent(PeerEvent &&event)
+    {
+        return std::visit(
+            Overloaded {
+                [this](PeerReceived<ForwardAnswer> &answer) {
+                    return m_router.ring().pushReserved(std::move(answer));
+                },
+                [this](LinkDown &down) { return m_router.ring().pushReserved(std::move(down)); },
+                [this](ForwardReceived &received) {
+                    return m_gate.ring().tryPush(std::move(received));
+                },
+                [this](CancelReceived &cancel) { return m_gate.ring().pushReserved(cancel); },
+                [this](LinkClosed &closed) { return m_gate.ring().pushReserved(closed); },
+                [this](PeerReceived<MembershipMessage> &message) {
+                    return m_membership.ring().tryPush(std::move(message));
+                },
+                [this](PeerReceived<QuarantineMessage> &message) {
+                    return m_gate.ring().tryPush(std::move(message));
+                },
+                [this](auto &message) { return m_hooks.onControl(std::move(message)); },
+            },
+            event);
+    }
+
+    void onBackendEvent(BackendEvent &&event)
+    {
+        // A push into a reserve fails only when the ring is closed.
+        std::visit(Overloaded {
+                       [this](BackendResult &result) {
+                           (void)m_gate.ring().pushReserved(std::move(result));
+                       },
+                       [this](BackendReachable &reachable) {
+                           m_hooks.onReachable(reachable.isReachable);
+                           (void)m_gate.ring().pushReserved(reachable);
+                           (void)m_membership.ring().pushReserved(reachable);
+                       },
+                   },
+                   event);
+    }
+
+    void onRouterOutput(typename R::Output &&output)
+    {
+        std::visit(Overloaded {
+                       [this](GuestAnswer &answer) { m_guests.ring().push(std::move(answer)); },
+                       [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                       [this](RouterDecision &decision) {
+                           m_routerLog.write(decision, SteadyClock().now());
+                       },
+                       [this](RequestSample &sample) { m_hooks.onSample(std::move(sample)); },
+                   },
+                   output);
+    }
+
+    void onGateOutput(Gate::Output &&output)
+    {
+        std::visit(
+            Overloaded {
+                [this](ForwardReply &reply) { m_peers.ring().push(std::move(reply)); },
+                [this](BackendCall &call) { m_backend.ring().push(std::move(call)); },
+                [this](BackendCancel &cancel) { m_backend.ring().push(cancel); },
+                [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                [this](GateDrained &) { m_gateDrained.set(); },
+                [this](GateDecision &decision) { m_gateLog.write(decision, SteadyClock().now()); },
+            },
+            output);
+    }
+
+    void onMembershipOutput(Membership::Output &&output)
+    {
+        std::visit(Overloaded {
+                       [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                       [this](EndpointsChanged &changed) {
+                           m_hooks.onEndpoints(changed);
+                           m_gate.ring().push(changed);
+                           m_router.ring().push(std::move(changed));
+                       },
+                   },
+                   output);
+    }
+
+    const Hooks m_hooks;
+    DecisionLog m_routerLog; // used by the routing thread
+    DecisionLog m_gateLog; // used by the gate's thread
+    Stage<R> m_router;
+    Stage<Gate> m_gate;
+    Stage<Membership> m_membership;
+    BasicGuestEndpoint<Guests> m_guests;
+    PeerEndpoint m_peers;
+    BasicBackendEndpoint<Backend> m_backend;
+    Event m_gateDrained; // set by the gate's thread
+};
+
+} // namespace camphorreach::impl
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -36,7 +36,7 @@
 {
 public:
     using Input = std::variant<GuestRequest, GuestGone, PeerReceived<ForwardAnswer>, LinkDown,
-                               SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainStarted>;
+                               SnapshotChanged, EndpointsChanged, MoveSharesChanged>;
     using Output = std::variant<GuestAnswer, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -63,8 +63,6 @@
                        m_placement.update(std::move(changed.shares));
                        dispatchAll(now, outbox);
                    },
-                   // The guest endpoint stops accepting; what has come in is finished as usual.
-                   [](DrainStarted &) {},
                },
                input);
 }
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -1,13 +1,8 @@
 // Parts of a mesh node that do not depend on the platform's dialect.
 #include <camphorreach/impl/meshnode.h>
 
-#include <boost/json.hpp>
-#include <random>
-
 namespace camphorreach::impl {
 
-namespace json = boost::json;
-
 namespace {
 
 // A node takes a few retries at a time, as far as the fleet's limit allows, and lets the ratio
@@ -27,15 +22,9 @@
 
 } // namespace
 
-Endpoint endpointOf(const SidecarSettings &settings)
+Endpoint selfOf(const SidecarSettings &settings)
 {
-    Endpoint self;
-    self.instance = settings.instance;
-    self.peer = settings.peerAddress;
-    self.domain = settings.domain;
-    self.region = settings.region;
-    self.service = settings.backendServer.service;
-    self.incarnation = Incarnation(static_cast<std::uint64_t>(wallTimeNow().value()));
+    Endpoint self = endpointOf(settings, settings.backendServer.service);
     self.state = EndpointState::Draining; // until the backend server announces itself
     return self;
 }
@@ -62,52 +51,4 @@
     return options;
 }
 
-RandomSource seeded(const SidecarSettings &settings, std::uint64_t part)
-{
-    const std::uint64_t seed
-        = settings.randomSeed != 0 ? settings.randomSeed : std::random_device {}();
-    return RandomSource(seed * 31 + part);
-}
-
-std::string dumpOf(const Membership &membership)
-{
-    json::array members;
-    for (const Endpoint &endpoint : membership.members()) {
-        members.push_back({ { "instance", endpoint.instance.value() },
-                            { "peer", toText(endpoint.peer) },
-                            { "failure_domain", endpoint.domain.value() },
-                            { "service", endpoint.service.value() },
-                            { "version", endpoint.version.value() },
-                            { "is_ready", endpoint.state == EndpointState::Ready } });
-    }
-    return json::serialize(members);
-}
-
-std::string dumpOf(const MeshRouter &router)
-{
-    const MeshRouter::Counts &counts = router.counts();
-    return json::serialize(json::object { { "config_version", router.configVersion().value() },
-                                          { "in_flight", router.inFlight() },
-                                          { "waiting", router.waiting() },
-                                          { "requests", counts.requests },
-                                          { "answered", counts.answered },
-                                          { "not_run", counts.notRun },
-                                          { "unknown", counts.unknown },
-                                          { "cancelled", counts.cancelled },
-                                          { "retries", counts.retries } });
-}
-
-std::string dumpOf(const Gate &gate)
-{
-    const GateLoad load = gate.load();
-    return json::serialize(json::object { { "running", load.running },
-                                          { "queued", load.queued },
-                                          { "slots", load.slots },
-                                          { "received", gate.counts().received },
-                                          { "handed_over", gate.counts().handedOver },
-                                          { "refused", gate.counts().refused },
-                                          { "crashes", gate.counts().crashes },
-                                          { "is_backend_reachable", gate.isReachable() } });
-}
-
 } // namespace camphorreach::impl
--- /dev/null
+++ b/src/pipelines/requestpath.cpp
@@ -0,0 +1,97 @@
+// Parts of the request path that do not depend on a dialect.
+#include <camphorreach/impl/requestpath.h>
+
+#include <boost/json.hpp>
+#include <random>
+
+namespace camphorreach::impl {
+
+namespace json = boost::json;
+
+namespace {
+
+template <typename R>
+json::value routerState(const R &router)
+{
+    const typename R::Counts &counts = router.counts();
+    return { { "config_version", router.configVersion().value() },
+             { "in_flight", router.inFlight() },
+             { "waiting", router.waiting() },
+             { "shed", counts.shed },
+             { "cancelled", counts.cancelled },
+             { "requests", counts.requests },
+             { "answered", counts.answered },
+             { "not_run", counts.notRun },
+             { "unknown", counts.unknown },
+             { "retries", counts.retries },
+             { "unmatched_answers", counts.unmatchedAnswers } };
+}
+
+} // namespace
+
+Endpoint endpointOf(const ProcessSettings &settings, const ServiceName &service)
+{
+    Endpoint self;
+    self.instance = settings.instance;
+    self.peer = settings.peerAddress;
+    self.domain = settings.domain;
+    self.region = settings.region;
+    self.service = service;
+    self.incarnation = Incarnation(static_cast<std::uint64_t>(wallTimeNow().value()));
+    return self;
+}
+
+RandomSource seeded(const ProcessSettings &settings, std::uint64_t part)
+{
+    const std::uint64_t seed
+        = settings.randomSeed != 0 ? settings.randomSeed : std::random_device {}();
+    return RandomSource(seed * 31 + part);
+}
+
+json::value dumpOf(const Router &router)
+{
+    return routerState(router);
+}
+
+json::value dumpOf(const MeshRouter &router)
+{
+    return routerState(router);
+}
+
+json::value dumpOf(const Gate &gate)
+{
+    const GateLoad load = gate.load();
+    const Gate::Counts &counts = gate.counts();
+    return { { "running", load.running },
+             { "queued", load.queued },
+             { "slots", load.slots },
+             { "received", counts.received },
+             { "handed_over", counts.handedOver },
+             { "refused", counts.refused },
+             { "shed", counts.shed },
+             { "late_results", counts.lateResults },
+             { "key_hits", counts.keyHits },
+             { "stored_results", gate.results().size() },
+             { "evicted_results", gate.results().evictions() },
+             { "crashes", counts.crashes },
+             { "isolated_runs", counts.isolatedRuns },
+             { "suspects", gate.containment().suspectCount() },
+             { "quarantined", gate.containment().quarantinedCount() },
+             { "is_backend_reachable", gate.isReachable() } };
+}
+
+json::value dumpOf(const Membership &membership)
+{
+    json::array members;
+    for (const Endpoint &endpoint : membership.members()) {
+        members.push_back({ { "instance", endpoint.instance.value() },
+                            { "peer", toText(endpoint.peer) },
+                            { "failure_domain", endpoint.domain.value() },
+                            { "service", endpoint.service.value() },
+                            { "version", endpoint.version.value() },
+                            { "is_ready", endpoint.state == EndpointState::Ready } });
+    }
+    return members;
+}
+
+} // namespace camphorreach::impl
--- a/tests/scenario/simnode.cpp
+++ b/tests/scenario/simnode.cpp
@@ -113,7 +113,6 @@
     whenAwake([this] {
         feed(m_membership, DrainStarted {});
         feed(m_gate, DrainStarted {});
-        feed(m_router, DrainStarted {});
     });
 }
 
