--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -123,6 +123,10 @@
     static void emitAll(std::vector<PeerSend> &&notices, Outbox<Output> &outbox);
 
     void fillSlots(TimePoint now, Outbox<Output> &outbox);
+    // What \a take takes from each queue, in the order in which the queues are served.
+    template <typename Take>
+    [[nodiscard]] std::vector<GateWork> takeFromAll(Take take);
+    [[nodiscard]] std::size_t queued() const noexcept;
     [[nodiscard]] bool holdsForIsolation(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool start(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool canFinish(const GateWork &work, TimePoint now);
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -5,6 +5,8 @@
 #include <camphorreach/result.h>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace camphorreach {
@@ -195,6 +197,15 @@
     return m_serviceTimes.overall() * ahead / static_cast<Duration::rep>(m_slots);
 }
 
+template <typename Take>
+std::vector<GateWork> Gate::takeFromAll(Take take)
+{
+    std::vector<GateWork> works;
+    for (GateQueue *queue : { &m_queue, &m_late, &m_isolated })
+        std::ranges::move(std::invoke(take, *queue), std::back_inserter(works));
+    return works;
+}
+
 // Queued work that the backend server no longer takes may still run at another gate.
 void Gate::onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox)
 {
@@ -211,12 +222,7 @@
         m_processEnded.reset(); // calls that are lost from now on ran in the new process
     }
     m_spread.setService(m_service);
-    std::vector<GateWork> works = m_queue.takeAll();
-    for (GateQueue *queue : { &m_late, &m_isolated }) {
-        for (GateWork &work : queue->takeAll())
-            works.push_back(std::move(work));
-    }
-    for (GateWork &work : works) {
+    for (GateWork &work : takeFromAll(&GateQueue::takeAll)) {
         if (const auto notRun = refusal(work, now))
             refuse(work, *notRun, now, outbox);
         else
@@ -255,11 +261,8 @@
 void Gate::onCancel(LinkId link, std::optional<RequestId> id, TimePoint now, Outbox<Output> &outbox)
 {
     m_results.dropWaiters(link, id);
-    std::vector<GateWork> dropped = m_queue.takeOf(link, id);
-    for (GateQueue *queue : { &m_late, &m_isolated }) {
-        for (GateWork &work : queue->takeOf(link, id))
-            dropped.push_back(std::move(work));
-    }
+    const std::vector<GateWork> dropped
+        = takeFromAll([&](GateQueue &queue) { return queue.takeOf(link, id); });
     cancelCalls(link, id, outbox);
     for (const GateWork &work : dropped) {
         if (!isKeyed(work.request))
@@ -331,9 +334,7 @@
     m_processEnded = now;
     judgeCrash(now, outbox);
     // Refused now rather than at their deadlines, so that they can run at another gate.
-    refuseAll(m_queue.takeAll(), NotRunReason::Unreachable, now, outbox);
-    refuseAll(m_late.takeAll(), NotRunReason::Unreachable, now, outbox);
-    refuseAll(m_isolated.takeAll(), NotRunReason::Unreachable, now, outbox);
+    refuseAll(takeFromAll(&GateQueue::takeAll), NotRunReason::Unreachable, now, outbox);
 }
 
 // A lost connection alone is no crash: backend servers also reset connections for other reasons.
@@ -391,9 +392,8 @@
 
 void Gate::refuseQuarantined(Digest fingerprint, TimePoint now, Outbox<Output> &outbox)
 {
-    refuseAll(m_queue.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
-    refuseAll(m_late.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
-    refuseAll(m_isolated.takeWith(fingerprint), NotRunReason::Quarantined, now, outbox);
+    refuseAll(takeFromAll([&](GateQueue &queue) { return queue.takeWith(fingerprint); }),
+              NotRunReason::Quarantined, now, outbox);
 }
 
 void Gate::onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox)
@@ -526,9 +526,8 @@
 {
     m_results.start(now);
     m_results.expire(now);
-    refuseAll(m_queue.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
-    refuseAll(m_late.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
-    refuseAll(m_isolated.takeExpired(now), NotRunReason::DeadlinePassed, now, outbox);
+    refuseAll(takeFromAll([&](GateQueue &queue) { return queue.takeExpired(now); }),
+              NotRunReason::DeadlinePassed, now, outbox);
     if (const auto repair = m_spread.nextRepair(); repair && *repair <= now)
         emitAll(m_spread.repair(m_containment.entries(now), now), outbox);
     fillSlots(now, outbox);
@@ -554,11 +553,15 @@
 
 GateLoad Gate::load() const noexcept
 {
-    return { static_cast<std::uint32_t>(m_running.size()),
-             static_cast<std::uint32_t>(m_queue.size() + m_late.size() + m_isolated.size()),
+    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(queued()),
              m_slots };
 }
 
+std::size_t Gate::queued() const noexcept
+{
+    return m_queue.size() + m_late.size() + m_isolated.size();
+}
+
 void Gate::reportIfDrained(Outbox<Output> &outbox)
 {
     if (isDrained() && !std::exchange(m_hasReportedDrained, true))
@@ -567,7 +570,7 @@
 
 bool Gate::isIdle() const noexcept
 {
-    return m_running.empty() && m_queue.isEmpty() && m_late.isEmpty() && m_isolated.isEmpty();
+    return m_running.empty() && queued() == 0;
 }
 
 bool Gate::isDrained() const noexcept
