--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -22,7 +22,6 @@
     {
         RequestId forwardId;
         Attempted where;
-        bool isSpilled = false; ///< To another failure domain than the own.
     };
 
     GuestRequest request;
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -95,8 +95,6 @@
     RequestContent content;
     GuestAttemptId attemptId {};
     ServiceName caller {};
-    /// Sent to another failure domain than the entry node's own; the first to be shed.
-    bool isSpilled = false;
 
     friend bool operator==(const ForwardRequest &, const ForwardRequest &) = default;
 };
--- a/include/camphorreach/rollout.h
+++ b/include/camphorreach/rollout.h
@@ -11,9 +11,6 @@
 
 enum class RolloutState : std::uint8_t { Requested, Running, Completed, RolledBack };
 
-/// A fixed name for logs, such as "rolled-back".
-[[nodiscard]] const char *toText(RolloutState state) noexcept;
-
 /// One order, as the platform's store holds it.
 struct RolloutOrder
 {
--- a/include/camphorreach/rollouts.h
+++ b/include/camphorreach/rollouts.h
@@ -79,7 +79,7 @@
     void onMessage(const RolloutMessage &message, TimePoint now);
     void onReply(const StoreReply &reply, TimePoint now);
     void onEndpoints(const EndpointsChanged &changed);
-    void tick(const ServiceName &service, Running &running, TimePoint now, Outbox<Output> &outbox);
+    void tick(Running &running, TimePoint now, Outbox<Output> &outbox);
     void lead(Running &running, TimePoint now, Outbox<Output> &outbox);
     void report(const Running &running, TimePoint now, Outbox<Output> &outbox) const;
     void direct(const Running &running, TimePoint now, Outbox<Output> &outbox) const;
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -53,7 +53,7 @@
     archive(request.id, request.service, request.route, request.kind, request.kindWeight,
             request.isIdempotent, request.version, request.budget, request.targetBudget,
             request.key, request.isFreshKey, request.depth, request.attempt, request.configVersion,
-            request.content, request.attemptId, request.caller, request.isSpilled);
+            request.content, request.attemptId, request.caller);
 }
 
 template <typename Archive>
--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -31,21 +31,6 @@
 
 } // namespace
 
-const char *toText(RolloutState state) noexcept
-{
-    switch (state) {
-    case RolloutState::Requested:
-        return "requested";
-    case RolloutState::Running:
-        return "running";
-    case RolloutState::Completed:
-        return "completed";
-    case RolloutState::RolledBack:
-        return "rolled-back";
-    }
-    return "invalid";
-}
-
 Rollouts::Rollouts(Endpoint self, RolloutPolicy policy)
     : m_self(std::move(self)), m_policy(policy), m_members { m_self }
 { }
@@ -211,12 +196,12 @@
     if (!m_nextTick || now < *m_nextTick)
         return;
     for (auto &[service, running] : m_running)
-        tick(service, running, now, outbox);
+        tick(running, now, outbox);
     m_nextTick = m_running.empty() ? std::nullopt : std::optional(now + tickInterval);
     publish(outbox);
 }
 
-void Rollouts::tick(const ServiceName &, Running &running, TimePoint now, Outbox<Output> &outbox)
+void Rollouts::tick(Running &running, TimePoint now, Outbox<Output> &outbox)
 {
     if (isLeading()) {
         lead(running, now, outbox);
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -90,7 +90,6 @@
     forward.content = request.content;
     forward.attemptId = request.attemptId;
     forward.caller = request.caller;
-    forward.isSpilled = current->isSpilled;
     return forward;
 }
 
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -287,12 +287,11 @@
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
     const RequestId forwardId(m_nextForward++);
-    pending.current = PendingRequest::Current { forwardId,
-                                                { endpoint.peer, endpoint.instance,
-                                                  endpoint.version, endpoint.domain, now },
-                                                m_placement.isElsewhere(endpoint) };
+    pending.current = PendingRequest::Current {
+        forwardId, { endpoint.peer, endpoint.instance, endpoint.version, endpoint.domain, now }
+    };
     pending.lastTarget = endpoint.instance;
-    pending.wasSpilled = pending.current->isSpilled;
+    pending.wasSpilled = m_placement.isElsewhere(endpoint);
     pending.placement.version.reset(); // each attempt draws anew
     m_forwards.emplace(forwardId, pending.request.id);
     m_placement.onSent(endpoint.peer);
