Take signals until the process exits

Callers saw: connections of a node that drains were closed at once, with requests that backend servers were running (LOST).

Cause: the signal handlers belonged to an io_context that was destroyed when the first SIGTERM had been read. Boost.Asio then restores the default action, so any signal during the drain of up to six seconds, such as a SIGHUP for changed settings, ended the process. A trial that printed the signal showed SIGHUP at 5.682 s, the time at which the connections closed.

Change: ProcessEvents owns the handlers from the first line of main() until the process exits, on a thread of its own that reports stops and changes through a bounded ring. A stop is reported once; whatever comes after it is logged with "ignored=stopping". At the end the signals are blocked before the registration goes. camphorreach-node had the same fault, was ended by any SIGHUP, and uses the same part. Signals that arrive while a node starts are kept too, and the settings file is compared with its state before it was read. SIGPIPE is ignored, as standard output may be a closed pipe.

Tests: Sidecar_secondSignalInADrain..., Sidecar_settingsChangeInADrain... and Sidecar_signalsWhileItStarts... run a real process. Before the change all three failed: the slow request got no answer and no exit code was left. They pass now.

--- a/include/camphorreach/impl/sidecarmain.h
+++ b/include/camphorreach/impl/sidecarmain.h
@@ -1,13 +1,9 @@
-// The main function of a mesh node: arguments, settings, signals.
+// The main function of a mesh node: arguments, settings, events of the process.
 #pragma once
 
 #include <camphorreach/impl/meshnode.h>
+#include <camphorreach/impl/processevents.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-
-#include <functional>
 #include <optional>
 #include <string>
 #include <variant>
@@ -22,9 +18,6 @@
 [[nodiscard]] SidecarStart readArguments(int argc, char **argv, const char *variable);
 /// Reads the settings. Prints all findings when they are not valid.
 [[nodiscard]] std::optional<SidecarSettings> readSettings(const std::string &path);
-/// Returns when the process is asked to stop. \a onChange runs when the settings file has changed,
-/// with or without a signal.
-void waitForStop(const std::string &path, const std::function<void()> &onChange);
 /// Prints an error that ended the process, and returns its exit code.
 [[nodiscard]] int reportFailure(const std::string &text);
 
@@ -32,20 +25,23 @@
 int sidecarMain(int argc, char **argv, const char *variable)
 {
     try {
+        ProcessEvents events;
         const SidecarStart start = readArguments(argc, argv, variable);
         if (const int *code = std::get_if<int>(&start))
             return *code;
         const auto &path = std::get<std::string>(start);
+        events.watch(path);
         const auto settings = readSettings(path);
         if (!settings)
             return 2;
         setUpLogging(settings->logLevel);
         MeshNode<Dialect> node(*settings);
         node.start();
-        waitForStop(path, [&] {
+        events.start();
+        while (events.next() == ProcessEvent::SettingsChanged) {
             if (const auto changed = readSettings(path))
                 node.reload(*changed);
-        });
+        }
         node.drainAndStop();
         return 0;
     } catch (const std::exception &exception) {
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -1,9 +1,8 @@
 // camphorreach-node: the process beside each backend server.
+#include <camphorreach/impl/processevents.h>
 #include <camphorreach/impl/settingsreader.h>
 #include <camphorreach/node.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 #include <exception>
@@ -17,6 +16,7 @@
 
 int run(int argc, char **argv)
 {
+    camphorreach::impl::ProcessEvents events;
     cxxopts::Options options("camphorreach-node", "Runs a node beside a backend server.");
     options.add_options()("settings", "TOML file with the settings", cxxopts::value<std::string>())(
         "check", "only check the settings")("h,help", "print this help");
@@ -41,10 +41,8 @@
     camphorreach::setUpLogging(settings->logLevel);
     camphorreach::Node node(*settings);
     node.start();
-    boost::asio::io_context io;
-    boost::asio::signal_set signals(io, SIGINT, SIGTERM);
-    signals.async_wait([](const boost::system::error_code &, int) {});
-    io.run();
+    events.start();
+    while (events.next() != camphorreach::impl::ProcessEvent::StopAsked) { } // nothing is reloaded
     node.drainAndStop(drainLimit);
     return Success;
 }
--- a/src/pipelines/sidecarmain.cpp
+++ b/src/pipelines/sidecarmain.cpp
@@ -1,45 +1,16 @@
-// Arguments, settings and signals of a mesh node.
+// Arguments and settings of a mesh node.
 #include <camphorreach/impl/settingsreader.h>
 #include <camphorreach/impl/sidecarmain.h>
 
-#include <chrono>
-#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
-#include <sys/stat.h>
-
 namespace camphorreach::impl {
 namespace {
 
 enum ExitCode { Success = 0, Failure = 1, BadInput = 2 };
 
-// The settings may change without a signal; nothing in them is urgent.
-constexpr auto checkInterval = std::chrono::seconds(1);
-
-// What tells one state of a file from another.
-struct FileStamp
-{
-    ::timespec modified {};
-    ::off_t size = 0;
-    ::ino_t inode = 0;
-
-    friend bool operator==(const FileStamp &a, const FileStamp &b)
-    {
-        return a.modified.tv_sec == b.modified.tv_sec && a.modified.tv_nsec == b.modified.tv_nsec
-            && a.size == b.size && a.inode == b.inode;
-    }
-};
-
-std::optional<FileStamp> stampOf(const std::string &path)
-{
-    struct ::stat status = {};
-    if (::stat(path.c_str(), &status) != 0)
-        return std::nullopt;
-    return FileStamp { status.st_mtim, status.st_size, status.st_ino };
-}
-
 } // namespace
 
 SidecarStart readArguments(int argc, char **argv, const char *variable)
@@ -83,44 +54,6 @@
     return readSettingsFile(path, &parseSidecarSettings);
 }
 
-void waitForStop(const std::string &path, const std::function<void()> &onChange)
-{
-    boost::asio::io_context io;
-    boost::asio::signal_set stops(io, SIGINT, SIGTERM);
-    boost::asio::signal_set changes(io, SIGHUP);
-    boost::asio::steady_timer timer(io);
-    auto stamp = stampOf(path);
-    const auto check = [&] {
-        const auto current = stampOf(path);
-        if (!current || current == stamp)
-            return;
-        stamp = current;
-        onChange();
-    };
-    std::function<void()> watch = [&] {
-        timer.expires_after(checkInterval);
-        timer.async_wait([&](const boost::system::error_code &error) {
-            if (error)
-                return;
-            check();
-            watch();
-        });
-    };
-    std::function<void()> listen = [&] {
-        changes.async_wait([&](const boost::system::error_code &error, int) {
-            if (error)
-                return;
-            onChange();
-            stamp = stampOf(path);
-            listen();
-        });
-    };
-    watch();
-    listen();
-    stops.async_wait([&](const boost::system::error_code &, int) { io.stop(); });
-    io.run();
-}
-
 int reportFailure(const std::string &text)
 {
     std::cerr << "camphorreach-sidecar: " << text << "\n";
--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -4,12 +4,11 @@
 #include "../platform/requests.h"
 #include "../platform/store.h"
 
-#include "nodefixture.h"
+#include "storestandin.h"
 
 #include <camphorreach/impl/meshnode.h>
 #include <camphorreach/result.h>
 
-#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -38,7 +37,7 @@
     static const char *announcementPrefix() { return platform::instancesPath; }
 };
 
-// Two nodes, each beside a server of "orders". The store holds one configuration; its watches wait.
+// Two nodes, each beside a server of "orders".
 class MeshNodeFixture
 {
 protected:
@@ -52,11 +51,6 @@
 
     MeshNodeFixture()
     {
-        store = std::make_unique<LoopbackServer>(
-            [this](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
-                if (auto response = onStore(request))
-                    server.respond(id, *std::move(response));
-            });
         for (std::size_t i = 0; i < 2; ++i) {
             auto side = std::make_unique<Side>();
             Side *self = side.get();
@@ -90,84 +84,28 @@
         settings.readyAddress = addresses[4 * number + 2];
         settings.announceAddress = addresses[4 * number + 3];
         settings.backendServer = { server, ServiceName("orders") };
-        settings.platform = store->address();
+        settings.platform = store.address();
         settings.randomSeed = number + 1;
         settings.logLevel = LogLevel::Error;
     }
 
-    static HttpResponse signedAnswer(const HttpRequest &request)
-    {
-        const std::string id(request.header("X-Camphorreach-Attempt-Id"));
-        return {
-            200,
-            { { "X-Camphorreach-Attempt-Id", id }, { "X-Camphorreach-Response-Seal", "seal" } },
-            request.method + " " + request.target + " "
-                + std::string(request.header("X-Camphorreach-Target-Instance")) + " " + request.body
-        };
-    }
-
-    // Runs on the store's thread only.
-    std::optional<HttpResponse> onStore(const HttpRequest &request)
-    {
-        if (request.target.find("watch=") != std::string::npos)
-            return std::nullopt; // nothing changes in these tests
-        if (request.method == "POST") {
-            const auto body = boost::json::parse(request.body).as_object();
-            nodes.push_back(
-                R"({"metadata":{"name":)" + boost::json::serialize(body.at("metadata").at("name"))
-                + R"(,"revision":3},"spec":)" + boost::json::serialize(body.at("spec")) + "}");
-            return HttpResponse { 201, {}, nodes.back() };
-        }
-        std::string items;
-        if (request.target.find("/config") != std::string::npos) {
-            items = configItem;
-        } else if (request.target.find("nodes") != std::string::npos) {
-            for (const std::string &node : nodes)
-                items += (items.empty() ? "" : ",") + node;
-        }
-        return HttpResponse { 200,
-                              {},
-                              R"({"items":[)" + items + R"(],"has_more":false,"at_rev":5})" };
-    }
-
     HttpResponse call(const NetAddress &to, HttpRequest request)
     {
-        std::promise<impl::HttpResult> done;
-        boost::asio::post(client.io(), [&] {
-            auto connection = std::make_shared<impl::HttpClient>(client.io(), to, 1);
-            connection->send(std::move(request), seconds(5),
-                             [&done, connection](impl::HttpResult &&result) {
-                                 done.set_value(std::move(result));
-                             });
-        });
-        auto result = done.get_future().get();
-        auto *response = std::get_if<HttpResponse>(&result);
-        return response != nullptr ? std::move(*response) : HttpResponse { 0, {}, "" };
+        return callOnce(client, to, std::move(request));
     }
 
     HttpResponse announce(std::size_t number, std::uint64_t sequence, const char *state)
     {
         const SidecarSettings &settings = sides[number]->settings;
         return call(settings.announceAddress,
-                    { "PUT",
-                      "/camphorreach/instances/i-" + std::to_string(number),
-                      {},
-                      R"({"address":")" + toText(settings.backendServer.address)
-                          + R"(","born":1,"server_info":{"service":"orders","version":"v1",)"
-                          + R"("zone":"arima","slots":4},"status":{"state":")" + state
-                          + R"(","sequence":)" + std::to_string(sequence)
-                          + R"(,"warmup_left_ms":0}})" });
+                    announcementOf("i-" + std::to_string(number), settings.backendServer.address,
+                                   sequence, state));
     }
 
     HttpResponse ask(std::size_t number, const std::string &method, const std::string &target)
     {
         return call(sides[number]->settings.guestAddress,
-                    { method,
-                      target,
-                      { { "Host", "a.example" },
-                        { "X-Camphorreach-Attempt-Id", "id-" + std::to_string(++attempts) },
-                        { "X-Camphorreach-Deadline-Ms", "2000" } },
-                      "bags" });
+                    requestOf("id-" + std::to_string(++attempts), method, target, "bags"));
     }
 
     // Asks until the answer has this status; the stand-ins give no sign when they have been found.
@@ -183,18 +121,8 @@
         return response;
     }
 
-    static constexpr const char *configItem = R"({"metadata":{"name":"main","revision":4},
-        "spec":{"version":7,"routes":{"columns":["name","host","path_prefix","route_kind",
-        "timeout_ms","target_latency_ms","priority","service","max_attempts","traffic_split"],
-        "rows":[["r-1","a.example","/bags/","non_idempotent",1000,500,1,"orders",2,null]]},
-        "services":{"columns":["name","health_path","max_connections","protocol","tls"],
-        "rows":[["orders","/health",110,"h1",false]]},
-        "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,
-        "idle_timeout_ms":15000}},"status":null})";
-
     const std::vector<NetAddress> addresses = freeAddresses(8); // four for each node
-    std::vector<std::string> nodes; // records in the store
-    std::unique_ptr<LoopbackServer> store;
+    StoreStandin store;
     std::vector<std::unique_ptr<Side>> sides;
     impl::IoThread client;
     int attempts = 0;
--- /dev/null
+++ b/tests/processeventstest.cpp
@@ -0,0 +1,122 @@
+// Signals in every phase of a real process.
+#include "sidecarprocess.h"
+#include "storestandin.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+namespace camphorreach {
+namespace {
+
+using impl::HttpRequest;
+using impl::HttpResponse;
+using std::chrono::milliseconds;
+
+// One node as a process, beside a server that answers "/bags/slow" late.
+class SidecarProcessFixture
+{
+protected:
+    SidecarProcessFixture()
+        : server([this](LoopbackServer &self, impl::ExchangeId id, HttpRequest &&request) {
+              const bool isSlow = request.target == "/bags/slow";
+              if (isSlow)
+                  slowRuns.set_value();
+              self.respondLater(id, signedAnswer(request), isSlow ? serviceTime : milliseconds(1));
+          })
+    {
+        const std::vector<NetAddress> addresses = freeAddresses(4);
+        settings.instance = InstanceId("node-1");
+        settings.domain = FailureDomain("arima");
+        settings.guestAddress = addresses[0];
+        settings.peerAddress = addresses[1];
+        settings.readyAddress = addresses[2];
+        settings.announceAddress = addresses[3];
+        settings.backendServer = { server.address(), ServiceName("orders") };
+        settings.platform = store.address();
+        client.start();
+    }
+    ~SidecarProcessFixture() { client.stop(); }
+
+    HttpResponse ask(const std::string &target)
+    {
+        return callOnce(client, settings.guestAddress,
+                        requestOf("id-" + std::to_string(++attempts), "POST", target, "bags"));
+    }
+
+    // Until the node has found the store and heard its server, it refuses.
+    [[nodiscard]] bool waitUntilServing()
+    {
+        for (std::uint64_t i = 1; i < 500; ++i) {
+            (void)callOnce(client, settings.announceAddress,
+                           announcementOf("i-1", settings.backendServer.address, i, "ready"));
+            if (ask("/bags/1").status == 200)
+                return true;
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return false;
+    }
+
+    // Asks for SLOW work and returns once the server runs it.
+    std::future<HttpResponse> askSlowly()
+    {
+        auto response = std::async(std::launch::async, [this] { return ask("/bags/slow"); });
+        slowRuns.get_future().wait();
+        return response;
+    }
+
+    static constexpr Duration serviceTime = milliseconds(600);
+
+    std::promise<void> slowRuns;
+    StoreStandin store;
+    LoopbackServer server;
+    SidecarSettings settings;
+    impl::IoThread client;
+    std::atomic<int> attempts { 0 };
+};
+
+// Guards against a drain that the next signal ends, with requests in flight.
+TEST_CASE_METHOD(SidecarProcessFixture, "Sidecar_secondSignalInADrain_answersWhatIsInFlight")
+{
+    const int second = GENERATE(SIGHUP, SIGTERM, SIGINT);
+    SidecarProcess process(settings);
+    REQUIRE(waitUntilServing());
+    auto response = askSlowly();
+    process.send(SIGTERM);
+    REQUIRE(process.waitForLog("event=stop-asked"));
+    process.send(second);
+    CHECK(response.get().status == 200);
+    CHECK(process.exitCode() == 0);
+}
+
+// Guards against a change of the settings that disturbs a drain.
+TEST_CASE_METHOD(SidecarProcessFixture, "Sidecar_settingsChangeInADrain_answersWhatIsInFlight")
+{
+    SidecarProcess process(settings);
+    REQUIRE(waitUntilServing());
+    auto response = askSlowly();
+    process.send(SIGTERM);
+    REQUIRE(process.waitForLog("event=stop-asked"));
+    process.touchSettings();
+    CHECK(response.get().status == 200);
+    CHECK(process.waitForLog("cause=file ignored=stopping"));
+    CHECK(process.exitCode() == 0);
+}
+
+// Guards against a process that listens before it can take signals.
+TEST_CASE_METHOD(SidecarProcessFixture, "Sidecar_signalsWhileItStarts_reloadsAndThenStops")
+{
+    SidecarProcess process(settings);
+    REQUIRE(process.waitForLog("event=started"));
+    process.send(SIGHUP);
+    REQUIRE(process.waitForLog("event=settings-reloaded"));
+    process.send(SIGTERM);
+    process.send(SIGHUP);
+    REQUIRE(process.waitForLog("event=stopped"));
+    CHECK(process.exitCode() == 0);
+}
+
+} // namespace
+} // namespace camphorreach
--- /dev/null
+++ b/tests/sidecarprocess.cpp
@@ -0,0 +1,80 @@
+// Settings text, start and end of a process.
+#include "sidecarprocess.h"
+
+#include <boost/process/args.hpp>
+#include <boost/process/io.hpp>
+
+#include <sys/wait.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace camphorreach {
+namespace {
+
+std::string textOf(const SidecarSettings &settings)
+{
+    return "[instance]\nname = \"" + settings.instance.value() + "\"\nfailure-domain = \""
+        + settings.domain.value() + "\"\n[listen]\nguest = \"" + toText(settings.guestAddress)
+        + "\"\npeer = \"" + toText(settings.peerAddress) + "\"\nready = \""
+        + toText(settings.readyAddress) + "\"\nannouncements = \""
+        + toText(settings.announceAddress) + "\"\n[backend-server]\naddress = \""
+        + toText(settings.backendServer.address) + "\"\nservice = \""
+        + settings.backendServer.service.value() + "\"\n[platform]\naddress = \""
+        + toText(settings.platform) + "\"\n[peers]\nseeds = []\n[log]\nlevel = \"info\"\n";
+}
+
+std::filesystem::path write(const std::filesystem::path &file, const std::string &text)
+{
+    std::ofstream(file) << text;
+    return file;
+}
+
+} // namespace
+
+SidecarProcess::SidecarProcess(const SidecarSettings &settings)
+    : m_file(write(std::filesystem::temp_directory_path()
+                       / ("camphorreach-" + toText(settings.guestAddress) + ".toml"),
+                   textOf(settings))),
+      m_settingsText(textOf(settings)), m_process(CAMPHORREACH_SIDECAR, "--settings",
+                                                  m_file.string(), boost::process::std_out > m_log)
+{ }
+
+SidecarProcess::~SidecarProcess()
+{
+    std::error_code ignored;
+    m_process.terminate(ignored);
+    std::filesystem::remove(m_file, ignored);
+}
+
+bool SidecarProcess::waitForLog(const std::string &text)
+{
+    for (std::string line; std::getline(m_log, line);) {
+        if (line.find(text) != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
+void SidecarProcess::send(int signal)
+{
+    ::kill(m_process.id(), signal);
+}
+
+void SidecarProcess::touchSettings() const
+{
+    const std::filesystem::path next = m_file.string() + ".next";
+    write(next, m_settingsText + "# changed\n");
+    std::filesystem::rename(next, m_file);
+}
+
+std::optional<int> SidecarProcess::exitCode()
+{
+    m_process.wait();
+    const int status = m_process.native_exit_code();
+    if (!WIFEXITED(status))
+        return std::nullopt;
+    return WEXITSTATUS(status);
+}
+
+} // namespace camphorreach
--- /dev/null
+++ b/tests/storestandin.cpp
@@ -0,0 +1,101 @@
+// The store's one configuration, and the messages of clients and servers around it.
+#include "storestandin.h"
+
+#include <boost/json.hpp>
+#include <future>
+#include <utility>
+
+namespace camphorreach {
+
+using impl::HttpRequest;
+using impl::HttpResponse;
+
+namespace {
+
+constexpr const char *configItem = R"({"metadata":{"name":"main","revision":4},
+    "spec":{"version":7,"routes":{"columns":["name","host","path_prefix","route_kind",
+    "timeout_ms","target_latency_ms","priority","service","max_attempts","traffic_split"],
+    "rows":[["r-1","a.example","/bags/","non_idempotent",1000,500,1,"orders",2,null]]},
+    "services":{"columns":["name","health_path","max_connections","protocol","tls"],
+    "rows":[["orders","/health",110,"h1",false]]},
+    "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,
+    "idle_timeout_ms":15000}},"status":null})";
+
+} // namespace
+
+StoreStandin::StoreStandin()
+    : m_server([this](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
+          if (auto response = respond(request))
+              server.respond(id, *std::move(response));
+      })
+{ }
+
+std::optional<HttpResponse> StoreStandin::respond(const HttpRequest &request)
+{
+    if (request.target.find("watch=") != std::string::npos)
+        return std::nullopt; // nothing changes
+    if (request.method == "POST") {
+        const auto body = boost::json::parse(request.body).as_object();
+        m_nodes.push_back(
+            R"({"metadata":{"name":)" + boost::json::serialize(body.at("metadata").at("name"))
+            + R"(,"revision":3},"spec":)" + boost::json::serialize(body.at("spec")) + "}");
+        return HttpResponse { 201, {}, m_nodes.back() };
+    }
+    std::string items;
+    if (request.target.find("/config") != std::string::npos) {
+        items = configItem;
+    } else if (request.target.find("nodes") != std::string::npos) {
+        for (const std::string &node : m_nodes)
+            items += (items.empty() ? "" : ",") + node;
+    }
+    return HttpResponse { 200, {}, R"({"items":[)" + items + R"(],"has_more":false,"at_rev":5})" };
+}
+
+HttpResponse callOnce(impl::IoThread &client, const NetAddress &to, HttpRequest request)
+{
+    std::promise<impl::HttpResult> done;
+    boost::asio::post(client.io(), [&] {
+        auto connection = std::make_shared<impl::HttpClient>(client.io(), to, 1);
+        connection->send(
+            std::move(request), std::chrono::seconds(5),
+            [&done, connection](impl::HttpResult &&result) { done.set_value(std::move(result)); });
+    });
+    auto result = done.get_future().get();
+    auto *response = std::get_if<HttpResponse>(&result);
+    return response != nullptr ? std::move(*response) : HttpResponse { 0, {}, "" };
+}
+
+HttpRequest announcementOf(const std::string &id, const NetAddress &address, std::uint64_t sequence,
+                           const char *state)
+{
+    return { "PUT",
+             "/camphorreach/instances/" + id,
+             {},
+             R"({"address":")" + toText(address)
+                 + R"(","born":1,"server_info":{"service":"orders","version":"v1",)"
+                 + R"("zone":"arima","slots":4},"status":{"state":")" + state + R"(","sequence":)"
+                 + std::to_string(sequence) + R"(,"warmup_left_ms":0}})" };
+}
+
+HttpRequest requestOf(const std::string &attemptId, const std::string &method,
+                      const std::string &target, std::string body)
+{
+    return { method,
+             target,
+             { { "Host", "a.example" },
+               { "X-Camphorreach-Attempt-Id", attemptId },
+               { "X-Camphorreach-Deadline-Ms", "2000" } },
+             std::move(body) };
+}
+
+HttpResponse signedAnswer(const HttpRequest &request)
+{
+    const std::string id(request.header("X-Camphorreach-Attempt-Id"));
+    return { 200,
+             { { "X-Camphorreach-Attempt-Id", id }, { "X-Camphorreach-Response-Seal", "seal" } },
+             request.method + " " + request.target + " "
+                 + std::string(request.header("X-Camphorreach-Target-Instance")) + " "
+                 + request.body };
+}
+
+} // namespace camphorreach
