Answer a request that was read as a drain closes idle connections

Callers saw: a kept connection closed without an answer, although the node had read the request and handed it on (LOST, and a run-once request that ran for nobody).

Cause: found by looking for other places that end a connection. When the grace of a drain ends, idle connections are closed. A read that had already taken a request's bytes, with its completion still queued, looked idle; the completion then routed the request on a closed socket.

Change: the end of the grace cancels the read instead. A read without bytes ends the connection as before; one with bytes goes on, and its answer says "Connection: close".

Test: HttpServer_requestReadAsTheGraceEnds_isAnswered steps through eight orders of the same events. Before the change one of them gave one answer for two requests that were read.

--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -176,6 +176,10 @@
         m_stream.socket().close(ignored);
     }
 
+    // Closes the connection unless bytes have already been read: their completion may be queued, and
+    // the request in them is answered then.
+    void closeUnlessRead() { m_stream.cancel(); }
+
     [[nodiscard]] bool isIdle() const noexcept { return m_exchange == 0 && !m_response; }
     [[nodiscard]] bool hasPartialRequest() const
     {
@@ -346,7 +350,7 @@
     for (const auto &[key, weak] : m_sessions) {
         const auto session = weak.lock();
         if (session && session->isIdle() && !session->hasPartialRequest())
-            session->close();
+            session->closeUnlessRead();
     }
 }
 
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -8,6 +8,9 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <vector>
+
 namespace camphorreach {
 namespace {
 
@@ -38,6 +41,84 @@
     } };
 };
 
+// One server on an io_context that the test runs step by step, and a client's kept connection.
+class HttpServerStepsFixture
+{
+protected:
+    HttpServerStepsFixture()
+    {
+        client.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server.port()));
+    }
+
+    void sendRequest()
+    {
+        asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: test\r\n\r\n")));
+    }
+
+    void pollUntilRequests(std::size_t count)
+    {
+        while (requests.size() < count)
+            io.run_one();
+    }
+
+    // Runs what is due and what follows from it.
+    void settle()
+    {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(20));
+    }
+
+    // All bytes until the server closes the connection.
+    std::string readAll()
+    {
+        std::string answers;
+        boost::system::error_code ignored;
+        asio::read(client, asio::dynamic_buffer(answers), ignored);
+        return answers;
+    }
+
+    static std::size_t countAnswers(const std::string &bytes)
+    {
+        std::size_t count = 0;
+        for (std::size_t at = bytes.find("HTTP/1.1 200"); at != std::string::npos;
+             at = bytes.find("HTTP/1.1 200", at + 1))
+            ++count;
+        return count;
+    }
+
+    asio::io_context io;
+    std::vector<impl::ExchangeId> requests;
+    impl::HttpServer server {
+        io,
+        { "127.0.0.1", 0 },
+        8,
+        { [this](impl::ExchangeId id, impl::HttpRequest &&) { requests.push_back(id); }, {} }
+    };
+    asio::io_context clientIo;
+    tcp::socket client { clientIo };
+};
+
+// Guards against a connection that is closed under a request that has just been read from it.
+TEST_CASE_METHOD(HttpServerStepsFixture, "HttpServer_requestReadAsTheGraceEnds_isAnswered")
+{
+    const int steps = GENERATE(range(0, 8));
+    sendRequest();
+    pollUntilRequests(1);
+    sendRequest();
+    server.respond(requests[0], { 200, {}, "ok" });
+    for (int i = 0; i < steps; ++i)
+        io.poll_one();
+    server.drain(std::chrono::seconds(0), [] {});
+    settle();
+    const std::size_t read = requests.size();
+    if (read == 2)
+        server.respond(requests[1], { 200, {}, "ok" });
+    settle();
+    client.shutdown(tcp::socket::shutdown_send);
+    settle();
+    CHECK(countAnswers(readAll()) == read);
+}
+
 // Guards against bodies that use up memory, and against a reset that hides the reason.
 TEST_CASE_METHOD(HttpServerFixture, "HttpServer_bodyAboveLimit_answers413AndTheClientSeesIt")
 {
