Take a refusal for a request only on evidence that it belongs to it

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran (REFUSED), or these ran at a second server (TWICE).

Could it happen here: yes. An answer with the id of another attempt was dropped, but a refusal without an id counted for whichever request was waiting, also on a connection that had been used before. On our own interface answers have no ids at all, so any repeated refusal counted.

Change: the dialect says whether a response is the own one, belongs to another request, or is doubtful. A refusal without an id counts only as the first response on its connection, where no earlier one can be meant; otherwise the outcome is "unknown".

Tests: three of the FaultyServer_refusal... and FaultyServer_ownRefusal... cases failed before. The fourth, a repeated refusal that bears its id, passed before. Platform_answerWithAnotherId_isForeign keeps its cases and tells first responses from later ones: 421 without an id, which it took for an own answer in all places, is now one only as the first response.

Also reported: an answer that stops in its head is passed on as a whole one (MIXED). It cannot happen here: FaultyServer_answerCutAnywhere... and FaultyServer_unframedAnswerCutInItsHead... cut an answer after each of its bytes, with and without a length; both passed before the change too.

--- a/include/camphorreach/impl/backendendpoint.h
+++ b/include/camphorreach/impl/backendendpoint.h
@@ -42,7 +42,7 @@
 public:
     [[nodiscard]] HttpRequest encode(BackendCall &&call) const;
     [[nodiscard]] std::variant<Answered, BackendFailure> decode(HttpResponse &&response) const;
-    [[nodiscard]] HttpClient::Options clientOptions() const { return {}; }
+    [[nodiscard]] HttpClient::Options clientOptions() const;
 };
 
 /// What the end of a call without a response means.
--- a/include/camphorreach/impl/httpclient.h
+++ b/include/camphorreach/impl/httpclient.h
@@ -35,6 +35,13 @@
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
+/// Whose answer a response is.
+enum class AnswerMatch : std::uint8_t {
+    Own,
+    Foreign, ///< Belongs to another request; the own answer is still to come.
+    Doubtful, ///< May be an earlier response once more, so it proves nothing.
+};
+
 /// All members are called on the thread that runs the io_context.
 class HttpClient
 {
@@ -47,9 +54,14 @@
         /// A body without a length ends with its connection, unless that is reset. Otherwise such
         /// an answer fails.
         bool acceptsUnframed = false;
-        /// Whether a response answers the request, for servers that send more responses than they
-        /// should. Others are dropped. May be empty.
-        std::function<bool(const HttpRequest &, const HttpResponse &)> isOwnAnswer {};
+        /// Whose answer a response is, for servers that send more responses than they should.
+        /// \a isFirst: nothing else has been received on its connection, so that it cannot be an
+        /// earlier response once more. Empty: each response is an own answer.
+        std::function<AnswerMatch(const HttpRequest &, const HttpResponse &, bool isFirst)>
+            match {};
+        /// Whether a response, written once more, could be taken for the answer to a later request.
+        /// Its connection is not used again. May be empty.
+        std::function<bool(const HttpResponse &)> endsConnection {};
         /// An idle connection is not used again after this time, or after what the server states.
         Duration idleLimit = std::chrono::hours(1);
         std::size_t bodyBytes = maxBodyBytes;
--- a/src/endpoints/backendendpoint.cpp
+++ b/src/endpoints/backendendpoint.cpp
@@ -66,4 +66,12 @@
                       std::move(response.body) };
 }
 
+// Answers bear no id, so a refusal that is written once more looks like that of the next request.
+HttpClient::Options OwnBackendDialect::clientOptions() const
+{
+    HttpClient::Options options;
+    options.endsConnection = isRefusal;
+    return options;
+}
+
 } // namespace camphorreach::impl
--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -82,7 +82,6 @@
         std::unique_ptr<asio::steady_timer> timer;
         std::shared_ptr<Connection> connection; // empty while the call waits for one
         bool isWriting = false; // whether bytes may have been written
-        bool hasAnswerBytes = false;
     };
 
     void dispatch();
@@ -233,10 +232,6 @@
 
     void readBody()
     {
-        const auto client = m_client.lock();
-        if (!client)
-            return;
-        client->m_calls.at(m_handle).hasAnswerBytes = true;
         http::async_read(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this(), handle = m_handle](ErrorCodeType error, std::size_t) {
@@ -268,32 +263,41 @@
             response.headers.push_back(
                 { std::string(field.name_string()), std::string(field.value()) });
         response.body = std::move(message.body());
-        if (isForeign(*client, response)) {
-            if (isUnframed || !message.keep_alive() || ++m_foreignAnswers > maxForeignAnswers)
-                fail(HttpFailure::Kind::BadAnswer, http::error::unexpected_body);
-            else
-                read();
-            return;
-        }
+        const AnswerMatch match = matchOf(*client, response);
+        m_hasReceived = true;
+        const bool isLast = isUnframed || !message.keep_alive();
+        if (match == AnswerMatch::Foreign && !isLast && ++m_foreignAnswers <= maxForeignAnswers)
+            return read();
+        if (match != AnswerMatch::Own)
+            return failAsBad();
         const CallHandle handle = std::exchange(m_handle, 0);
-        if (message.keep_alive() && !isUnframed && m_buffer.size() == 0) {
-            const auto stated = statedIdleLimit(response);
-            m_idleUntil = SteadyClock().now()
-                + std::min(client->m_options.idleLimit,
-                           stated ? *stated - idleMargin : client->m_options.idleLimit);
-            client->m_idle.push_back(shared_from_this());
-        } else {
+        const auto &ends = client->m_options.endsConnection;
+        if (!isLast && m_buffer.size() == 0 && !(ends && ends(response)))
+            rest(*client, response);
+        else
             close();
-        }
         client->finish(handle, std::move(response));
     }
 
-    [[nodiscard]] bool isForeign(const Impl &client, const HttpResponse &response) const
+    // Waits for the next call.
+    void rest(Impl &client, const HttpResponse &response)
+    {
+        const auto stated = statedIdleLimit(response);
+        m_idleUntil = SteadyClock().now()
+            + std::min(client.m_options.idleLimit,
+                       stated ? *stated - idleMargin : client.m_options.idleLimit);
+        client.m_idle.push_back(shared_from_this());
+    }
+
+    [[nodiscard]] AnswerMatch matchOf(const Impl &client, const HttpResponse &response) const
     {
-        const auto &isOwn = client.m_options.isOwnAnswer;
-        return isOwn && !isOwn(client.m_calls.at(m_handle).request, response);
+        const auto &match = client.m_options.match;
+        return match ? match(client.m_calls.at(m_handle).request, response, !m_hasReceived)
+                     : AnswerMatch::Own;
     }
 
+    void failAsBad() { fail(HttpFailure::Kind::BadAnswer, http::error::unexpected_body); }
+
     void fail(HttpFailure::Kind kind, ErrorCodeType error)
     {
         const CallHandle handle = std::exchange(m_handle, 0);
@@ -309,6 +313,7 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     CallHandle m_handle = 0; // zero while the connection carries no call
     unsigned m_foreignAnswers = 0; // at most maxForeignAnswers
+    bool m_hasReceived = false; // a whole response, own or not; never becomes false again
     TimePoint m_idleUntil = TimePoint::max(); // of an idle connection
     bool m_isConnected = false;
 };
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -10,6 +10,7 @@
 namespace camphorreach {
 namespace {
 
+using impl::AnswerMatch;
 using impl::HttpRequest;
 using impl::HttpResponse;
 
@@ -102,15 +103,22 @@
 // Guards against a late answer to an earlier request that is taken for the next one's.
 TEST_CASE_METHOD(PlatformFixture, "Platform_answerWithAnotherId_isForeign")
 {
-    const auto isOwn = platform::ServerDialect().clientOptions().isOwnAnswer;
+    const auto match = platform::ServerDialect().clientOptions().match;
     const HttpRequest request { "GET", "/", { { "X-Camphorreach-Attempt-Id", "a" } }, "" };
     const auto answer = [](std::uint16_t status, HeaderFields fields) {
         return HttpResponse { status, std::move(fields), "" };
     };
-    CHECK(isOwn(request, answer(200, { { "X-Camphorreach-Attempt-Id", "a" } })));
-    CHECK_FALSE(isOwn(request, answer(200, { { "X-Camphorreach-Attempt-Id", "b" } })));
-    CHECK_FALSE(isOwn(request, answer(200, {})));
-    CHECK(isOwn(request, answer(421, {})));
+    for (const bool isFirst : { true, false }) {
+        CHECK(match(request, answer(200, { { "X-Camphorreach-Attempt-Id", "a" } }), isFirst)
+              == AnswerMatch::Own);
+        CHECK(match(request, answer(200, { { "X-Camphorreach-Attempt-Id", "b" } }), isFirst)
+              == AnswerMatch::Foreign);
+        CHECK(match(request, answer(200, {}), isFirst) == AnswerMatch::Foreign);
+        CHECK(match(request, answer(421, { { "X-Camphorreach-Attempt-Id", "b" } }), isFirst)
+              == AnswerMatch::Foreign);
+    }
+    CHECK(match(request, answer(421, {}), true) == AnswerMatch::Own);
+    CHECK(match(request, answer(421, {}), false) == AnswerMatch::Doubtful);
 }
 
 TEST_CASE_METHOD(PlatformFixture, "Platform_outcomes_haveTruthfulStatusCodes")
