Skip interim responses instead of passing them on

On our own interface, "100 Continue" or "103 Early Hints" before an answer was passed on as the answer. Found while looking for answers that are taken for others. On the users' platform they were dropped, as they bear no id, and counted as answers to other requests.

Change: up to eight interim responses are skipped for each call; more, or a switch of protocols, end the connection.

Test: FaultyServer_interimResponsesBeforeTheAnswer_areSkipped failed before.

--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -37,6 +37,10 @@
 
 // More unasked-for responses than this on one connection, and its answers cannot be told apart.
 constexpr unsigned maxForeignAnswers = 4;
+// Interim responses (100 to 199) before an answer.
+constexpr unsigned maxInterimAnswers = 8;
+constexpr std::uint16_t switchingProtocols = 101;
+constexpr std::uint16_t firstFinalStatus = 200;
 // How much sooner than the server says a connection is given up.
 constexpr Duration idleMargin = std::chrono::milliseconds(700);
 
@@ -263,6 +267,11 @@
             response.headers.push_back(
                 { std::string(field.name_string()), std::string(field.value()) });
         response.body = std::move(message.body());
+        if (response.status < firstFinalStatus) {
+            const bool isAllowed
+                = response.status != switchingProtocols && ++m_interimAnswers <= maxInterimAnswers;
+            return isAllowed ? read() : failAsBad();
+        }
         const AnswerMatch match = matchOf(*client, response);
         m_hasReceived = true;
         const bool isLast = isUnframed || !message.keep_alive();
@@ -282,6 +291,7 @@
     // Waits for the next call.
     void rest(Impl &client, const HttpResponse &response)
     {
+        m_interimAnswers = 0;
         const auto stated = statedIdleLimit(response);
         m_idleUntil = SteadyClock().now()
             + std::min(client.m_options.idleLimit,
@@ -313,6 +323,7 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     CallHandle m_handle = 0; // zero while the connection carries no call
     unsigned m_foreignAnswers = 0; // at most maxForeignAnswers
+    unsigned m_interimAnswers = 0; // of the current call; at most maxInterimAnswers
     bool m_hasReceived = false; // a whole response, own or not; never becomes false again
     TimePoint m_idleUntil = TimePoint::max(); // of an idle connection
     bool m_isConnected = false;
--- a/tests/faultyservertest.cpp
+++ b/tests/faultyservertest.cpp
@@ -150,5 +150,15 @@
     }
 }
 
+// Guards against an interim response that a guest gets as its answer.
+TEST_CASE_METHOD(OwnServerFixture, "FaultyServer_interimResponsesBeforeTheAnswer_areSkipped")
+{
+    const Result result = resultOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+                                   "Link: x\r\n\r\n"
+                                   + answer);
+    REQUIRE(std::holds_alternative<Answered>(result));
+    CHECK(std::get<Answered>(result).status == 200);
+}
+
 } // namespace
 } // namespace camphorreach
