Bound bytes without end, in a head, a body or between answers

Tried at each step of an answer, eleven places in FaultyServer_bytesWithoutEnd... Two went wrong: the size of a chunk and the extension of a chunk. Boost.Beast waits for the end of that line and the read buffer grew without a bound until the call's deadline; the guest waited as long. The other nine ended at once before too: status line, field, number of fields, interim responses, answers to others, body without a length, chunks, trailers (two ways).

The same cause elsewhere, found by reading: - requests of guests, at the same place: the buffer is bounded there too (HttpServer_chunkExtensionWithoutEnd_answers400, no answer before); - an idle connection to a server was not read, so that up to 63 of them could hold full socket buffers, which count as memory: bytes or an end on one close it at once; - the connection that watches the server read and dropped whatever came, 64 bytes at a time, without end: after 4 KiB it is closed and opened again with the usual pause.

Change: read-ahead is limited to 64 KiB (on top of a head for guests), after which the answer is a bad one and the connection is closed.

--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -39,6 +39,9 @@
 constexpr unsigned maxForeignAnswers = 4;
 // Interim responses (100 to 199) before an answer.
 constexpr unsigned maxInterimAnswers = 8;
+// Bytes that are read ahead of the parser. It must hold a head whole, and bounds what the parser
+// itself does not: the size line of a chunk with its extensions.
+constexpr std::size_t maxBufferBytes = 64 * 1024;
 constexpr std::uint16_t switchingProtocols = 101;
 constexpr std::uint16_t firstFinalStatus = 200;
 // How much sooner than the server says a connection is given up.
@@ -288,7 +291,7 @@
         client->finish(handle, std::move(response));
     }
 
-    // Waits for the next call.
+    // Waits for the next call. Whatever a server sends meanwhile belongs to no request.
     void rest(Impl &client, const HttpResponse &response)
     {
         m_interimAnswers = 0;
@@ -297,6 +300,16 @@
             + std::min(client.m_options.idleLimit,
                        stated ? *stated - idleMargin : client.m_options.idleLimit);
         client.m_idle.push_back(shared_from_this());
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [weak = weak_from_this(), rests = ++m_rests](ErrorCodeType error) {
+                const auto self = weak.lock();
+                if (error || !self || self->m_handle != 0 || self->m_rests != rests)
+                    return;
+                self->close();
+                if (const auto alive = self->m_client.lock())
+                    std::erase(alive->m_idle, self);
+            });
     }
 
     [[nodiscard]] AnswerMatch matchOf(const Impl &client, const HttpResponse &response) const
@@ -318,13 +331,14 @@
 
     std::weak_ptr<Impl> m_client;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer { maxBufferBytes };
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     CallHandle m_handle = 0; // zero while the connection carries no call
     unsigned m_foreignAnswers = 0; // at most maxForeignAnswers
     unsigned m_interimAnswers = 0; // of the current call; at most maxInterimAnswers
     bool m_hasReceived = false; // a whole response, own or not; never becomes false again
+    std::uint64_t m_rests = 0; // how often the connection became idle
     TimePoint m_idleUntil = TimePoint::max(); // of an idle connection
     bool m_isConnected = false;
 };
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr std::size_t firstReadBytes = 4096;
+// Bytes that are read ahead of the parser, on top of a head. Bounds what the parser itself does
+// not: the size line of a chunk with its extensions.
+constexpr std::size_t readAheadBytes = 64 * 1024;
 // A body may take this long on top of the header.
 constexpr auto bodyTimeout = std::chrono::seconds(30);
 constexpr auto writeTimeout = std::chrono::seconds(30);
@@ -119,6 +122,7 @@
         m_parser.emplace();
         m_parser->body_limit(std::min<std::uint64_t>(m_server->m_limits.bodyBytes, maxBodyBytes));
         m_parser->header_limit(m_server->m_limits.headerBytes);
+        m_buffer.max_size(m_server->m_limits.headerBytes + readAheadBytes);
         if (m_buffer.size() > 0)
             return readRequest();
         m_stream.expires_after(m_server->m_limits.idleTimeout);
@@ -176,8 +180,8 @@
         m_stream.socket().close(ignored);
     }
 
-    // Closes the connection unless bytes have already been read: their completion may be queued, and
-    // the request in them is answered then.
+    // Closes the connection unless bytes have already been read: their completion may be queued,
+    // and the request in them is answered then.
     void closeUnlessRead() { m_stream.cancel(); }
 
     [[nodiscard]] bool isIdle() const noexcept { return m_exchange == 0 && !m_response; }
--- a/src/endpoints/reachabilitymonitor.cpp
+++ b/src/endpoints/reachabilitymonitor.cpp
@@ -23,6 +23,8 @@
 constexpr Duration firstDelay = std::chrono::milliseconds(20);
 constexpr Duration longestDelay = std::chrono::milliseconds(500);
 constexpr Duration connectTimeout = std::chrono::seconds(1);
+// A server that sends more of its own accord would keep the reader busy.
+constexpr std::size_t maxUnaskedBytes = 4096;
 
 } // namespace
 
@@ -67,16 +69,8 @@
     // Data that the server sends of its own accord means nothing here.
     void watch()
     {
-        m_socket.async_read_some(asio::buffer(m_buffer),
-                                 [weak = weak_from_this()](ErrorCodeType error, std::size_t) {
-                                     const auto self = weak.lock();
-                                     if (!self || self->m_isStopped)
-                                         return;
-                                     if (error)
-                                         self->connectLater();
-                                     else
-                                         self->watch();
-                                 });
+        m_unaskedBytes = 0;
+        read();
         // A server that keeps its connections open may be probed at once when one ends; one that
         // closes each connection immediately must not cause a busy loop.
         m_timer.expires_after(longestDelay);
@@ -87,6 +81,21 @@
         });
     }
 
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_buffer),
+                                 [weak = weak_from_this()](ErrorCodeType error, std::size_t size) {
+                                     const auto self = weak.lock();
+                                     if (!self || self->m_isStopped)
+                                         return;
+                                     self->m_unaskedBytes += size;
+                                     if (error || self->m_unaskedBytes > maxUnaskedBytes)
+                                         self->connectLater();
+                                     else
+                                         self->read();
+                                 });
+    }
+
     void connectLater()
     {
         close();
@@ -120,6 +129,7 @@
     tcp::socket m_socket;
     asio::steady_timer m_timer;
     std::array<char, 64> m_buffer {};
+    std::size_t m_unaskedBytes = 0; // on this connection; little more than maxUnaskedBytes
     std::optional<Duration> m_delay; // before the next attempt; empty after a lasting connection
     std::optional<bool> m_isReachable; // as last reported
     bool m_isStopped = false;
--- a/tests/faultyservertest.cpp
+++ b/tests/faultyservertest.cpp
@@ -160,5 +160,30 @@
     CHECK(std::get<Answered>(result).status == 200);
 }
 
+// Guards against bytes without end that use up memory, or hold a request until its deadline.
+TEST_CASE_METHOD(PlatformServerFixture, "FaultyServer_bytesWithoutEnd_endTheCallWithinABound")
+{
+    constexpr std::size_t mostBytes = 32U << 20U; // the limit of a body, and what sockets hold
+    const std::string chunked = answerHead + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string block(4096, 'x');
+    const Step step = GENERATE_COPY(
+        values<Step>({ { "", block }, // in the status line
+                       { "HTTP/1.1 200 OK\r\nX-Long: ", block }, // in a field
+                       { "HTTP/1.1 200 OK\r\n", "X-Field: x\r\n" }, // in the number of fields
+                       { "", "HTTP/1.1 100 Continue\r\n\r\n" }, // in interim responses
+                       { "", firstAnswer }, // in answers to another request
+                       { answerHead + "\r\n", block }, // in a body without a length
+                       { chunked, "4\r\nmore\r\n" }, // in chunks
+                       { chunked, "0" }, // in the size of a chunk
+                       { chunked + "4;", block }, // in the extension of a chunk
+                       { chunked + "0\r\n", "X-Trailer: x\r\n" }, // in trailers
+                       { chunked + "0\r\nX-Trailer: ", block } }));
+    INFO("after " << step.bytes << ", without end: " << step.endless.substr(0, 32));
+    start({ step });
+    const Result result = call("a-2");
+    CHECK(isFailure(result, BackendFailure::BadAnswer));
+    CHECK(server->bytesWritten() < mostBytes);
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -127,5 +127,26 @@
     CHECK(post(3 * maxBodyBytes) == "HTTP/1.1 413 Payload Too Large");
 }
 
+// Guards against a chunk's size line that uses up memory.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer_chunkExtensionWithoutEnd_answers400")
+{
+    constexpr std::size_t mostBytes = 32U << 20U; // far above what sockets hold
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server.address().port));
+    const std::string begin
+        = "POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n4;";
+    const std::string block(4096, 'x');
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(begin), error);
+    std::size_t written = 0;
+    while (!error && written < mostBytes && socket.available() == 0)
+        written += asio::write(socket, asio::buffer(block), error);
+    std::string status(12, ' ');
+    asio::read(socket, asio::buffer(status), error);
+    CHECK(status == "HTTP/1.1 400");
+    CHECK(written < mostBytes);
+}
+
 } // namespace
 } // namespace camphorreach
