--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -78,7 +78,7 @@
     [[nodiscard]] CatalogAdvert advert(bool isAnswer) const;
     [[nodiscard]] std::vector<RolloutOrder> orders() const;
     [[nodiscard]] ObjectVersion newestOrder() const;
-    [[nodiscard]] Duration backoff(std::uint32_t failures);
+    [[nodiscard]] Duration pauseAfter(std::uint32_t failures);
 
     const Endpoint m_self;
     const Options m_options;
--- a/include/camphorreach/headerfield.h
+++ b/include/camphorreach/headerfield.h
@@ -18,6 +18,9 @@
 
 using HeaderFields = std::vector<HeaderField>;
 
+/// Compares ASCII text without regard to case, as names of header fields are compared.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept;
+
 /// Value of the first field with this name, without regard to case, or an empty view.
 [[nodiscard]] std::string_view valueOf(const HeaderFields &fields, std::string_view name) noexcept;
 
--- a/include/camphorreach/random.h
+++ b/include/camphorreach/random.h
@@ -1,6 +1,9 @@
 // The source of randomness that is passed into filters, seeded by whoever builds them.
 #pragma once
 
+#include <camphorreach/units.h>
+
+#include <algorithm>
 #include <cstdint>
 #include <random>
 
@@ -21,4 +24,12 @@
     return std::uniform_real_distribution<double>(0.0, 1.0)(random);
 }
 
+/// A pause before the next try: \a first, doubled \a doublings times up to \a longest, of which at
+/// least half is kept, so that those who failed together do not come back together.
+[[nodiscard]] inline Duration backoff(Duration first, Duration longest, std::uint32_t doublings,
+                                      RandomSource &random)
+{
+    return scaled(std::min(longest, first * (1 << doublings)), 0.5 + 0.5 * uniformFraction(random));
+}
+
 } // namespace camphorreach
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -116,7 +116,7 @@
 
     [[nodiscard]] bool maySpill(const PendingRequest &pending) const;
     [[nodiscard]] bool isTooLate(const PendingRequest &pending, TimePoint now) const;
-    [[nodiscard]] Duration backoff(std::uint32_t refusals);
+    [[nodiscard]] Duration pauseAfter(std::uint32_t refusals);
     [[nodiscard]] Duration returnAfter(const PendingRequest &pending, const NotRun &notRun,
                                        TimePoint now);
 
--- a/include/camphorreach/units.h
+++ b/include/camphorreach/units.h
@@ -24,6 +24,12 @@
 
 using TimePoint = MonotonicTime::time_point;
 
+/// \a factor times the duration, cut to whole microseconds.
+[[nodiscard]] inline Duration scaled(Duration duration, double factor) noexcept
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Wall-clock time in milliseconds since 1970, for deadlines that operators state and for logs.
 using WallTime = Strong<struct WallTimeTag, std::int64_t>;
 
--- a/src/endpoints/http.cpp
+++ b/src/endpoints/http.cpp
@@ -5,7 +5,6 @@
 #include <cctype>
 
 namespace camphorreach {
-namespace {
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
 {
@@ -14,8 +13,6 @@
         [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
-} // namespace
-
 std::string_view valueOf(const HeaderFields &fields, std::string_view name) noexcept
 {
     for (const HeaderField &field : fields) {
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -136,7 +136,7 @@
     if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::NotFound)
         m_isRegistered = false;
     ++m_failedCalls;
-    m_nextRegistration = now + backoff(maxDoublings);
+    m_nextRegistration = now + pauseAfter(maxDoublings);
 }
 
 void Catalog::onEntries(Follower &follower, StoreEntries &entries, TimePoint now,
@@ -190,7 +190,7 @@
         return;
     }
     ++m_failedCalls;
-    follower.nextCall = now + backoff(follower.failures);
+    follower.nextCall = now + pauseAfter(follower.failures);
     follower.failures = std::min(follower.failures + 1, maxDoublings);
 }
 
@@ -342,11 +342,9 @@
     return newest;
 }
 
-Duration Catalog::backoff(std::uint32_t failures)
+Duration Catalog::pauseAfter(std::uint32_t failures)
 {
-    const Duration longest = std::min(longestBackoff, firstBackoff * (1 << failures));
-    const double part = 0.5 + 0.5 * uniformFraction(m_random);
-    return Duration(static_cast<Duration::rep>(static_cast<double>(longest.count()) * part));
+    return backoff(firstBackoff, longestBackoff, failures, m_random);
 }
 
 std::optional<TimePoint> Catalog::nextDeadline() const
--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -234,8 +234,7 @@
     else if (!running.wholeSince)
         running.wholeSince = now;
     direct(running, now, outbox);
-    const bool isDue = now - running.startedAt >= Duration(static_cast<Duration::rep>(
-                           m_policy.completedAt * static_cast<double>(running.order.ramp.count())));
+    const bool isDue = now - running.startedAt >= scaled(running.order.ramp, m_policy.completedAt);
     if (running.isBad)
         writeState(running, RolloutState::RolledBack, now, outbox);
     else if (isDue && running.wholeSince && now - *running.wholeSince >= settleTime)
--- a/src/filters/requests/ejection.cpp
+++ b/src/filters/requests/ejection.cpp
@@ -45,9 +45,7 @@
     if (m_until && now - *m_until > forgetAfter)
         m_ejections = 0;
     const Duration time = std::min(longestTime, firstTime * (1 << m_ejections));
-    const double factor = 1.0 - jitter * uniformFraction(random);
-    m_until
-        = now + Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+    m_until = now + scaled(time, 1.0 - jitter * uniformFraction(random));
     m_ejections = std::min(m_ejections + 1, maxDoublings);
     m_successes = 0;
     m_failures = 0;
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -228,7 +228,7 @@
         // Every endpoint has failed this request once. After a pause, any may be tried again.
         pending.placement.avoided.clear();
         m_queue.erase(pending.request.id);
-        wait(pending, now + backoff(std::max(pending.attempts, 1U)), now, outbox);
+        wait(pending, now + pauseAfter(std::max(pending.attempts, 1U)), now, outbox);
         return true;
     case PlacementFailure::AtLimit:
         pending.waitReason = NotRunReason::Overloaded;
@@ -365,7 +365,7 @@
         && (notRun.reason == NotRunReason::Draining
             || m_retries.tryTake(pending.serviceName, pending.request.depth, now)))
         return place(pending, now, outbox);
-    wait(pending, now + backoff(pending.refusals), now, outbox);
+    wait(pending, now + pauseAfter(pending.refusals), now, outbox);
 }
 
 // Asks another gate at once, or tells the guest that nobody can take the request now.
@@ -445,9 +445,7 @@
 {
     const Duration wait = std::max({ notRun.retryAfter, pending.longestWait, leastReturn });
     const Duration longest = std::max(leastReturn, (pending.deadline - now) / 4);
-    const double spread = 0.7 + 0.6 * uniformFraction(m_random);
-    const auto jittered
-        = Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * spread));
+    const Duration jittered = scaled(wait, 0.7 + 0.6 * uniformFraction(m_random));
     return std::min(jittered, longest);
 }
 
@@ -516,12 +514,10 @@
 }
 
 template <BalancingPolicy Policy>
-Duration BasicRouter<Policy>::backoff(std::uint32_t refusals)
+Duration BasicRouter<Policy>::pauseAfter(std::uint32_t refusals)
 {
-    const std::uint32_t doublings = std::min(refusals - 1, maxBackoffDoublings);
-    const Duration longest = std::min(longestBackoff, firstBackoff * (1 << doublings));
-    const double part = 0.5 + 0.5 * uniformFraction(m_random);
-    return Duration(static_cast<Duration::rep>(static_cast<double>(longest.count()) * part));
+    return backoff(firstBackoff, longestBackoff, std::min(refusals - 1, maxBackoffDoublings),
+                   m_random);
 }
 
 template <BalancingPolicy Policy>
