Derive readiness from what is held and whether a stop was asked for

A configuration that came in force at the moment of a SIGTERM could set "ready" after the stop had cleared it: the catalog's thread read "not stopping" first and wrote "ready" last. The node would then have counted as ready for the whole drain. Both facts only ever become true, and readiness is computed from them when it is asked for, so no order of the two can be wrong.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -104,8 +104,8 @@
     const Log m_log { "node" };
     MetricsRegistry m_metrics;
     Counter &m_samplesDropped = m_metrics.counter("rollouts.samples_dropped_ring_full");
-    std::atomic<bool> m_isReady { false }; // a configuration is held, and no stop was asked for
-    std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_hasConfiguration { false }; // never becomes false again
+    std::atomic<bool> m_isStopping { false }; // never becomes false again
     std::mutex m_callerMutex; // guards m_caller
     ServiceName m_caller; // the service beside whose backend server requests begin
     // One engine for each stage, so that no two threads share one.
@@ -220,7 +220,7 @@
                 m_path.guests().setLimits(changed.snapshot->limits);
                 m_local.ring().push(changed);
                 m_path.router().ring().push(std::move(changed));
-                m_isReady = !m_isStopping;
+                m_hasConfiguration = true;
             },
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
@@ -285,7 +285,7 @@
     return {
         { Dialect::readyPath(),
           [this](const HttpRequest &) {
-              const bool isReady = m_isReady;
+              const bool isReady = m_hasConfiguration && !m_isStopping;
               return HttpResponse { static_cast<std::uint16_t>(isReady ? 200 : 503),
                                     {},
                                     isReady ? "ready\n" : "no configuration, or stopping\n" };
@@ -338,7 +338,6 @@
     m_log.info("event=stop-asked");
     const TimePoint end = SteadyClock().now() + m_settings.stopGrace - leaveTime;
     m_isStopping = true;
-    m_isReady = false;
     if (!m_path.drain(serveOn, end))
         m_log.warning("event=stop-cut-short");
     stop();
