Say what was left when a stop is cut short

Nothing told whether guests, work at the gate or links of other nodes had kept it, and only the first would matter to callers. The line now names them: "left=guests,links".

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -338,8 +338,8 @@
     m_log.info("event=stop-asked");
     const TimePoint end = SteadyClock().now() + m_settings.stopGrace - leaveTime;
     m_isStopping = true;
-    if (!m_path.drain(serveOn, end))
-        m_log.warning("event=stop-cut-short");
+    if (const DrainRemainder left = m_path.drain(serveOn, end); !left.isEmpty())
+        m_log.warning("event=stop-cut-short left=" + toText(left));
     stop();
     m_log.info("event=stopped");
 }
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -19,6 +19,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace camphorreach::impl {
@@ -34,6 +35,19 @@
 [[nodiscard]] boost::json::value dumpOf(const Gate &gate);
 [[nodiscard]] boost::json::value dumpOf(const Membership &membership);
 
+/// What a drain could not finish in its time.
+struct DrainRemainder
+{
+    bool hasGuests = false; ///< Connections of guests were open.
+    bool hasWork = false; ///< The gate had requests queued or running.
+    bool hasLinks = false; ///< Links of other nodes were open.
+
+    [[nodiscard]] bool isEmpty() const noexcept { return !hasGuests && !hasWork && !hasLinks; }
+};
+
+/// For logs, such as "guests,links".
+[[nodiscard]] std::string toText(const DrainRemainder &left);
+
 /// The threads and rings of the path. What its owner adds is reached through hooks, which run on
 /// the path's threads between start and stop.
 template <Filter R, GuestDialect Guests, BackendDialect Backend>
@@ -118,22 +132,22 @@
     }
 
     /// Announces that the node leaves, finishes what is in flight, and closes the connections of
-    /// guests after \a serveOn at the latest when they are idle. Returns whether nothing was left
-    /// at \a end.
-    [[nodiscard]] bool drain(Duration serveOn, TimePoint end)
+    /// guests after \a serveOn at the latest when they are idle. Returns what was left at \a end.
+    [[nodiscard]] DrainRemainder drain(Duration serveOn, TimePoint end)
     {
         m_membership.ring().push(DrainStarted {});
         m_gate.ring().push(DrainStarted {});
         const auto guestsClosed = std::make_shared<Event>();
         m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
-        bool isWhole = guestsClosed->waitUntil(end);
-        isWhole = m_gateDrained.waitUntil(end) && isWhole;
+        DrainRemainder left;
+        left.hasGuests = !guestsClosed->waitUntil(end);
+        left.hasWork = !m_gateDrained.waitUntil(end);
         // Links close last: each waits for the answers to all requests on it.
         const auto peersClosed = std::make_shared<Event>();
         m_peers.drain([peersClosed] { peersClosed->set(); });
-        isWhole = peersClosed->waitUntil(end) && isWhole;
+        left.hasLinks = !peersClosed->waitUntil(end);
         m_membership.ring().push(NodeLeaving {});
-        return isWhole;
+        return left;
     }
 
     void stopFilters()
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -275,8 +275,10 @@
 void Node::Impl::drainAndStop(Duration limit)
 {
     m_log.info("The drain has begun.");
-    if (!m_path.drain(drainGrace, SteadyClock().now() + limit))
-        m_log.warning("The time limit of the drain has passed with work left.");
+    const TimePoint end = SteadyClock().now() + limit;
+    if (const impl::DrainRemainder left = m_path.drain(drainGrace, end); !left.isEmpty())
+        m_log.warning("The time limit of the drain has passed with this left: " + impl::toText(left)
+                      + ".");
     stop();
     m_log.info("The node has stopped.");
 }
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -29,6 +29,19 @@
 
 } // namespace
 
+std::string toText(const DrainRemainder &left)
+{
+    std::string text;
+    const auto add = [&text](bool isLeft, const char *name) {
+        if (isLeft)
+            text += (text.empty() ? "" : ",") + std::string(name);
+    };
+    add(left.hasGuests, "guests");
+    add(left.hasWork, "work");
+    add(left.hasLinks, "links");
+    return text;
+}
+
 Endpoint endpointOf(const ProcessSettings &settings, const ServiceName &service)
 {
     Endpoint self;
