Keep serving when changed settings cannot be read for any reason

Found by review: an exception while a changed settings file was read left main() by way of its outer handler, and the node was destroyed without a drain, with all requests in flight. Findings and an unreadable file were handled, exceptions were not. No input that throws is known; found by reading, not reproduced. The old settings stay in force now, and the reason is printed.

--- a/include/camphorreach/impl/sidecarmain.h
+++ b/include/camphorreach/impl/sidecarmain.h
@@ -18,6 +18,8 @@
 [[nodiscard]] SidecarStart readArguments(int argc, char **argv, const char *variable);
 /// Reads the settings. Prints all findings when they are not valid.
 [[nodiscard]] std::optional<SidecarSettings> readSettings(const std::string &path);
+/// As readSettings(), but no exception ends the node that still serves with the old ones.
+[[nodiscard]] std::optional<SidecarSettings> readChangedSettings(const std::string &path);
 /// Prints an error that ended the process, and returns its exit code.
 [[nodiscard]] int reportFailure(const std::string &text);
 
@@ -39,7 +41,7 @@
         node.start();
         events.start();
         while (events.next() == ProcessEvent::SettingsChanged) {
-            if (const auto changed = readSettings(path))
+            if (const auto changed = readChangedSettings(path))
                 node.reload(*changed);
         }
         node.drainAndStop();
--- a/src/pipelines/sidecarmain.cpp
+++ b/src/pipelines/sidecarmain.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <exception>
 #include <iostream>
 
 namespace camphorreach::impl {
@@ -54,6 +55,16 @@
     return readSettingsFile(path, &parseSidecarSettings);
 }
 
+std::optional<SidecarSettings> readChangedSettings(const std::string &path)
+{
+    try {
+        return readSettings(path);
+    } catch (const std::exception &exception) {
+        std::cerr << path << ": " << exception.what() << "\n";
+        return std::nullopt;
+    }
+}
+
 int reportFailure(const std::string &text)
 {
     std::cerr << "camphorreach-sidecar: " << text << "\n";
