Leave time for links to close behind a guest that never finishes its request

Found by review: a drain waits for guests, then for the gate, then for links, all until one end. A guest that trickles its request used up the time of the links, which were then cut without notice; other nodes take that for lost requests ("unknown") although the gate had refused them. Guests now get 400 ms less.

--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -16,6 +16,7 @@
 #include <camphorreach/stage.h>
 
 #include <boost/json/object.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -140,7 +141,7 @@
         const auto guestsClosed = std::make_shared<Event>();
         m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
         DrainRemainder left;
-        left.hasGuests = !guestsClosed->waitUntil(end);
+        left.hasGuests = !guestsClosed->waitUntil(end - linkCloseTime);
         left.hasWork = !m_gateDrained.waitUntil(end);
         // Links close last: each waits for the answers to all requests on it.
         const auto peersClosed = std::make_shared<Event>();
@@ -172,6 +173,10 @@
     }
 
 private:
+    // A guest that never finishes its request must not use up the time in which other nodes get
+    // their answers and learn that their links end.
+    static constexpr Duration linkCloseTime = std::chrono::milliseconds(400);
+
     // Each request in flight yields at most one answer and one end of a link.
     static std::size_t answerPlaces(const Sizes &sizes) { return 2 * sizes.maxInFlight; }
 
