Refuse a peer's malformed address instead of throwing on the I/O thread

Found by review: a message of another node may carry an address that is not an IP address, and sending to it threw on a thread without a handler, which ends the process. A datagram to it counts as unsendable; requests for it are reported as unsent. Found by reading, not reproduced.

--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -276,7 +276,12 @@
             if (!error && self && !self->m_isConnected)
                 self->end();
         });
-        const tcp::endpoint target(asio::ip::make_address(m_peer.host), m_peer.port);
+        ErrorCodeType malformed; // the address may come from another node's message
+        const tcp::endpoint target(asio::ip::make_address(m_peer.host, malformed), m_peer.port);
+        if (malformed) {
+            asio::post(m_endpoint->m_thread.io(), [self = shared_from_this()] { self->end(); });
+            return;
+        }
         m_channel.socket().async_connect(target, [self = shared_from_this()](ErrorCodeType error) {
             if (error)
                 self->end();
@@ -588,9 +593,10 @@
         m_unsendable.add();
         return;
     }
-    ErrorCodeType error;
-    m_datagrams.send_to(asio::buffer(payload),
-                        udp::endpoint(asio::ip::make_address(to.host), to.port), 0, error);
+    ErrorCodeType error; // the address may come from another node's message
+    const auto host = asio::ip::make_address(to.host, error);
+    if (!error)
+        m_datagrams.send_to(asio::buffer(payload), udp::endpoint(host, to.port), 0, error);
     if (error)
         m_unsendable.add();
     else
