--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -187,6 +187,21 @@
         return error == asio::error::would_block || error == asio::error::try_again;
     }
 
+    // Closes the connection when the server sends anything before the next call, or closes it.
+    void watchIdle()
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [weak = weak_from_this(), rests = ++m_rests](ErrorCodeType error) {
+                const auto self = weak.lock();
+                if (error || !self || self->m_handle != 0 || self->m_rests != rests)
+                    return;
+                self->close();
+                if (const auto alive = self->m_client.lock())
+                    std::erase(alive->m_idle, self);
+            });
+    }
+
 private:
     void write()
     {
@@ -291,7 +306,7 @@
         client->finish(handle, std::move(response));
     }
 
-    // Waits for the next call. Whatever a server sends meanwhile belongs to no request.
+    // Waits for the next call.
     void rest(Impl &client, const HttpResponse &response)
     {
         m_interimAnswers = 0;
@@ -300,16 +315,7 @@
             + std::min(client.m_options.idleLimit,
                        stated ? *stated - idleMargin : client.m_options.idleLimit);
         client.m_idle.push_back(shared_from_this());
-        m_stream.socket().async_wait(
-            tcp::socket::wait_read,
-            [weak = weak_from_this(), rests = ++m_rests](ErrorCodeType error) {
-                const auto self = weak.lock();
-                if (error || !self || self->m_handle != 0 || self->m_rests != rests)
-                    return;
-                self->close();
-                if (const auto alive = self->m_client.lock())
-                    std::erase(alive->m_idle, self);
-            });
+        watchIdle();
     }
 
     [[nodiscard]] AnswerMatch matchOf(const Impl &client, const HttpResponse &response) const
@@ -430,6 +436,7 @@
             if (error || !self)
                 return;
             self->m_idle.push_back(connection);
+            connection->watchIdle();
             self->dispatch();
         });
     }
