Keep non-ASCII text outside strings and comments from the TOML library

The library's test for non-ASCII white space declares unreachable what most characters from U+00A1 to U+0499, and some above, reach. Without the sanitizer that is undefined: mostly nothing is seen, once it was a SIGSEGV. An operator's bare key with a Danish letter is enough.

Change: TOML allows such text in strings and comments only, so the scan that already bounds dots reports it with its line before the library sees it. The scan now also knows strings that end with quotes of their own, and a byte order mark.

Test: Parse_nonAsciiOutsideStringsAndComments_isFinding.

--- a/src/tree/tomldocument.cpp
+++ b/src/tree/tomldocument.cpp
@@ -8,15 +8,27 @@
 namespace camphorreach::impl {
 namespace {
 
-// Follows strings and comments closely enough to count dots of keys. Where the text is not valid
-// TOML the parser stops at the same point, so a wrong guess after it does no harm.
-class DotCounter
+struct Problem
+{
+    std::uint32_t line = 0; // counted from one
+    const char *text = "";
+};
+
+// Finds what the parser must not see: it recurses for each dot of a key, and its behaviour is
+// undefined for some non-ASCII characters outside strings and comments, where TOML allows none.
+// Follows strings and comments closely enough. Where the text is not valid TOML the parser stops at
+// the same point, so a wrong guess after it does no harm.
+class DocumentScanner
 {
 public:
-    explicit DotCounter(std::string_view text) : m_text(text) { }
+    explicit DocumentScanner(std::string_view text) : m_text(text)
+    {
+        constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
+        if (m_text.starts_with(byteOrderMark))
+            m_at = byteOrderMark.size();
+    }
 
-    // The first line with too many dots, counted from one, or zero.
-    std::uint32_t run()
+    std::optional<Problem> run()
     {
         while (m_at < m_text.size()) {
             const char c = m_text[m_at];
@@ -24,13 +36,17 @@
                 skipString(c);
             else if (c == '#')
                 skipComment();
+            else if (static_cast<unsigned char>(c) > lastAscii)
+                return Problem { m_line, "only strings and comments may hold non-ASCII text" };
             else if (!take(c))
-                return m_line;
+                return Problem { m_line, "the line has too many dots" };
         }
-        return 0;
+        return std::nullopt;
     }
 
 private:
+    static constexpr unsigned char lastAscii = 0x7f;
+
     bool take(char c)
     {
         ++m_at;
@@ -59,6 +75,9 @@
             m_at += quote == '"' && m_text[m_at] == '\\' ? 2 : 1;
         }
         m_at += end.size();
+        // A multi-line string may end with one or two quotes of its own before the delimiter.
+        for (int i = 0; isMultiLine && i < 2 && m_at < m_text.size() && m_text[m_at] == quote; ++i)
+            ++m_at;
     }
 
     std::string_view m_text;
@@ -72,8 +91,8 @@
 std::optional<toml::table> parseDocument(std::string_view text, const std::string &file,
                                          Findings &findings)
 {
-    if (const std::uint32_t line = DotCounter(text).run(); line != 0) {
-        findings.push_back({ { file, line, 1 }, "", "the line has too many dots" });
+    if (const auto problem = DocumentScanner(text).run()) {
+        findings.push_back({ { file, problem->line, 1 }, "", problem->text });
         return std::nullopt;
     }
     try {
--- a/tests/settingstreetest.cpp
+++ b/tests/settingstreetest.cpp
@@ -239,6 +239,17 @@
           == std::string::npos);
 }
 
+// Guards against the undefined behaviour of the TOML library for some characters.
+TEST_CASE_METHOD(SettingsTreeFixture, "Parse_nonAsciiOutsideStringsAndComments_isFinding")
+{
+    const std::string finding = ":1: only strings and comments may hold non-ASCII text\n";
+    CHECK(findings("k\xc3\xb8 = 1\n") == "tree.toml:1" + finding);
+    CHECK(findings("a = 1\nb = \xc2\xa1\n") == "tree.toml:2" + finding);
+    CHECK(findings("a = \"\"\"b\"\"\"\"\nb = \xe3\x80\x80\n") == "tree.toml:2" + finding);
+    CHECK(findings("\xef\xbb\xbf# \xc3\xb8\nkind = '\xc3\xb8'\n").find("non-ASCII")
+          == std::string::npos);
+}
+
 // Guards against a tree that the platform cannot hold.
 TEST_CASE_METHOD(SettingsTreeFixture, "Parse_treeOverTheLimit_isTooLarge")
 {
