--- a/tests/sidecarprocess.cpp
+++ b/tests/sidecarprocess.cpp
@@ -2,10 +2,13 @@
 #include "sidecarprocess.h"
 
 #include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <climits>
 #include <csignal>
 #include <fstream>
 
@@ -30,14 +33,21 @@
     return file;
 }
 
+// The process inherits only its standard streams: a connection of the test that it held would stay
+// open when the test closes it, and a log of another process would never end.
+const auto closeInheritedOnExec
+    = [](auto &) { (void)::close_range(STDERR_FILENO + 1, UINT_MAX, CLOSE_RANGE_CLOEXEC); };
+
 } // namespace
 
 SidecarProcess::SidecarProcess(const SidecarSettings &settings)
     : m_file(write(std::filesystem::temp_directory_path()
                        / ("camphorreach-" + toText(settings.guestAddress) + ".toml"),
                    textOf(settings))),
-      m_settingsText(textOf(settings)), m_process(CAMPHORREACH_SIDECAR, "--settings",
-                                                  m_file.string(), boost::process::std_out > m_log)
+      m_settingsText(textOf(settings)),
+      m_process(CAMPHORREACH_SIDECAR, "--settings", m_file.string(),
+                boost::process::std_out > m_log,
+                boost::process::extend::on_exec_setup = closeInheritedOnExec)
 { }
 
 SidecarProcess::~SidecarProcess()
@@ -56,15 +66,23 @@
     return false;
 }
 
+std::optional<std::string> SidecarProcess::nextLine()
+{
+    std::string line;
+    if (!std::getline(m_log, line))
+        return std::nullopt;
+    return line;
+}
+
 void SidecarProcess::send(int signal)
 {
     ::kill(m_process.id(), signal);
 }
 
-void SidecarProcess::touchSettings() const
+void SidecarProcess::touchSettings(const std::string &added) const
 {
     const std::filesystem::path next = m_file.string() + ".next";
-    write(next, m_settingsText + "# changed\n");
+    write(next, m_settingsText + added);
     std::filesystem::rename(next, m_file);
 }
 
--- a/tests/sidecarprocess.h
+++ b/tests/sidecarprocess.h
@@ -25,9 +25,11 @@
 
     /// Reads the log until a line holds \a text. False when the log ends before.
     [[nodiscard]] bool waitForLog(const std::string &text);
+    /// The next line of the log, or nothing when it has ended. Another thread may send signals.
+    [[nodiscard]] std::optional<std::string> nextLine();
     void send(int signal);
-    /// Replaces the settings file by one with other bytes and the same meaning.
-    void touchSettings() const;
+    /// Replaces the settings file by one with \a added at its end; a comment keeps its meaning.
+    void touchSettings(const std::string &added = "# changed\n") const;
     /// Waits until the process has ended by itself. Its exit code, or nothing when a signal ended
     /// it.
     [[nodiscard]] std::optional<int> exitCode();
--- a/tests/storestandin.h
+++ b/tests/storestandin.h
@@ -12,8 +12,8 @@
 
 namespace camphorreach {
 
-/// Serves one route, "a.example/bags/" to "orders", and keeps the records of nodes. Its watches
-/// wait without end.
+/// Serves two routes to "orders", "a.example/bags/" for run-once requests and "a.example/hats/" for
+/// idempotent ones, and keeps the records of nodes. Its watches wait without end.
 class StoreStandin
 {
 public:
@@ -37,7 +37,7 @@
 [[nodiscard]] impl::HttpRequest announcementOf(const std::string &id, const NetAddress &address,
                                                std::uint64_t sequence, const char *state);
 
-/// A request of a client on the stand-in's route.
+/// A request of a client on one of the stand-in's routes.
 [[nodiscard]] impl::HttpRequest requestOf(const std::string &attemptId, const std::string &method,
                                           const std::string &target, std::string body);
 
