Log who brings each configuration, and whether it is news

Change: the catalog reports each configuration that it hears, with its origin, what was held, and the routes that it carries; a node logs it as event=configuration-heard.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -19,13 +19,23 @@
 
 namespace camphorreach {
 
+/// A configuration has come, whether or not it is news. For the log.
+struct ConfigurationHeard
+{
+    ConfigVersion version;
+    ConfigVersion held; ///< In force when it came.
+    std::optional<NetAddress> from; ///< The node that sent it; empty for the store.
+    std::size_t routes = 0; ///< That it carries.
+};
+
 /// Follows configuration and orders, registers this node and finds others. While the store cannot
 /// be reached, other nodes stand in for it. The version in force never decreases.
 class Catalog
 {
 public:
     using Input = std::variant<StoreReply, PeerReceived<CatalogMessage>, EndpointsChanged>;
-    using Output = std::variant<StoreCall, PeerSend, SnapshotChanged, OrdersChanged, JoinPeers>;
+    using Output = std::variant<StoreCall, PeerSend, SnapshotChanged, OrdersChanged, JoinPeers,
+                                ConfigurationHeard>;
 
     struct Options
     {
@@ -66,7 +76,8 @@
     void onAdvert(const NetAddress &from, const CatalogAdvert &advert, TimePoint now,
                   Outbox<Output> &outbox);
     // Each returns whether it was news.
-    bool apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox);
+    bool apply(std::shared_ptr<const MeshConfig> config, std::optional<NetAddress> from,
+               Outbox<Output> &outbox);
     [[nodiscard]] bool apply(const RolloutOrder &order);
     void advertise(TimePoint now, Outbox<Output> &outbox);
     void spread(Outbox<Output> &outbox);
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -50,6 +50,8 @@
 [[nodiscard]] Endpoint selfOf(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
+/// A log line.
+[[nodiscard]] std::string toText(const ConfigurationHeard &heard);
 
 /// All threads and rings of one node.
 template <PlatformDialect Dialect>
@@ -222,6 +224,7 @@
                 m_path.router().ring().push(std::move(changed));
                 m_hasConfiguration = true;
             },
+            [this](const ConfigurationHeard &heard) { m_log.info(toText(heard)); },
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
         },
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -147,7 +147,7 @@
     bool isNews = false;
     for (StoreEntry &entry : entries.entries) {
         if (auto *config = std::get_if<std::shared_ptr<const MeshConfig>>(&entry.value)) {
-            isNews = apply(std::move(*config), outbox) || isNews;
+            isNews = apply(std::move(*config), std::nullopt, outbox) || isNews;
         } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
             haveOrdersChanged = apply(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
@@ -206,7 +206,8 @@
                 for (const RolloutOrder &order : update.orders)
                     haveOrdersChanged = apply(order) || haveOrdersChanged;
                 const bool isNews
-                    = apply(std::make_shared<const MeshConfig>(std::move(update.config)), outbox);
+                    = apply(std::make_shared<const MeshConfig>(std::move(update.config)),
+                            received.from, outbox);
                 if (haveOrdersChanged)
                     outbox.emit(OrdersChanged { orders() });
                 if (isNews || haveOrdersChanged)
@@ -238,8 +239,11 @@
     outbox.emit(PeerSend { from, Transport::Datagram, CatalogMessage(own) });
 }
 
-bool Catalog::apply(std::shared_ptr<const MeshConfig> config, Outbox<Output> &outbox)
+bool Catalog::apply(std::shared_ptr<const MeshConfig> config, std::optional<NetAddress> from,
+                    Outbox<Output> &outbox)
 {
+    outbox.emit(
+        ConfigurationHeard { config->version, version(), std::move(from), config->routes.size() });
     if (config->version <= version())
         return false;
     m_config = std::move(config);
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -51,4 +51,11 @@
     return options;
 }
 
+std::string toText(const ConfigurationHeard &heard)
+{
+    return "event=configuration-heard version=" + std::to_string(heard.version.value())
+        + " held=" + std::to_string(heard.held.value()) + " from="
+        + (heard.from ? toText(*heard.from) : "store") + " routes=" + std::to_string(heard.routes);
+}
+
 } // namespace camphorreach::impl
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -72,6 +72,7 @@
                            },
                            [&](OrdersChanged &changed) { orders = changed.orders; },
                            [&](JoinPeers &join) { joined = join.peers; },
+                           [&](ConfigurationHeard &origin) { heard.push_back(origin); },
                        },
                        output);
         }
@@ -114,6 +115,7 @@
     std::vector<std::uint64_t> versions;
     std::vector<RolloutOrder> orders;
     std::vector<NetAddress> joined;
+    std::vector<ConfigurationHeard> heard;
 };
 
 // Guards against a node that lists the store again and again, or misses what changes after the
@@ -197,6 +199,19 @@
     CHECK(lastCall<StoreFollow>(StoreKind::Configuration) != nullptr);
 }
 
+// Guards against a late configuration of which nobody can tell who brought it, and how often.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_configurationHeard_isReportedWithItsOrigin")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    REQUIRE(heard.size() == 2);
+    CHECK(heard[0].version == ConfigVersion(7));
+    CHECK_FALSE(heard[0].from);
+    CHECK(heard[1].version == ConfigVersion(5));
+    CHECK(heard[1].held == ConfigVersion(7));
+    CHECK(heard[1].from == NetAddress { "127.0.0.1", 2 });
+}
+
 // Guards against a restarted node that cannot enter itself because its record exists.
 TEST_CASE_METHOD(CatalogFixture, "Catalog_ownRecordExists_isReplaced")
 {
