Show a large configuration that is in force too late, as a failing test

The test runs the catalogs of 26 nodes and their store in virtual time over links of 10 Mbit/s, with 2,500 routes.

--- /dev/null
+++ b/tests/catalogworld.cpp
@@ -0,0 +1,293 @@
+// Catalogs and their store over links of limited rate.
+#include "catalogworld.h"
+
+#include <camphorreach/impl/wire.h>
+#include <camphorreach/result.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t firstPort = 7000;
+constexpr Duration latency = microseconds(500); // one way
+// One row of a configuration in the store's format.
+constexpr std::size_t routeBytesInStore = 120;
+constexpr std::size_t replyHeadBytes = 300;
+
+MeshConfig firstConfig(std::size_t routes)
+{
+    MeshConfig config;
+    config.version = ConfigVersion(1);
+    for (std::size_t i = 0; i < routes; ++i) {
+        HostRoute route;
+        route.host = "voje83.example";
+        route.policy.name = RouteName("r-" + std::to_string(100'000 + i));
+        route.policy.prefix = "/lese650/p" + std::to_string(100'000 + i) + "/";
+        route.policy.deadline = milliseconds(2500);
+        route.parts.push_back({ ServiceName("nyxa81a"), 1 });
+        config.routes.push_back(std::move(route));
+    }
+    config.services.push_back({ ServiceName("nyxa81a"), 530 });
+    return config;
+}
+
+} // namespace
+
+CatalogWorld::CatalogWorld(Options options) : m_options(options)
+{
+    m_history.push_back({ ObjectVersion(10),
+                          std::make_shared<const MeshConfig>(firstConfig(options.routes)),
+                          m_events.now() });
+    auto table = std::make_shared<EndpointTable>();
+    for (std::size_t i = 0; i < options.nodes; ++i)
+        table->services[ServiceName("orders")].push_back(endpointOf(i));
+    for (std::size_t i = 0; i < options.nodes; ++i) {
+        m_nodes.push_back(std::make_unique<Node>(endpointOf(i), i + 1));
+        give(i, EndpointsChanged { table });
+    }
+}
+
+Endpoint CatalogWorld::endpointOf(std::size_t index)
+{
+    Endpoint result;
+    result.instance = InstanceId("n" + std::to_string(100 + index));
+    result.peer = { "10.1.0.1", static_cast<std::uint16_t>(firstPort + index) };
+    result.domain = FailureDomain("arima");
+    result.service = ServiceName("orders");
+    return result;
+}
+
+void CatalogWorld::run(Duration span)
+{
+    const TimePoint end = m_events.now() + span;
+    for (auto next = m_events.nextTime(); next && *next <= end; next = m_events.nextTime())
+        m_events.runNext();
+    m_events.advanceTo(end);
+}
+
+void CatalogWorld::publish()
+{
+    MeshConfig config = *m_history.back().config;
+    config.version = next(config.version);
+    const auto step = static_cast<std::size_t>(config.version.value());
+    for (const std::size_t i : { step, 7 * step })
+        config.routes[i % config.routes.size()].policy.deadline += milliseconds(1);
+    m_history.push_back({ next(m_history.back().object),
+                          std::make_shared<const MeshConfig>(std::move(config)), m_events.now() });
+    answerWaiting();
+}
+
+void CatalogWorld::publishSeries(int count, Duration gap)
+{
+    for (int i = 0; i < count; ++i) {
+        publish();
+        run(gap);
+    }
+}
+
+void CatalogWorld::silenceStoreFor(std::set<std::size_t> nodes)
+{
+    m_silenced = std::move(nodes);
+}
+
+void CatalogWorld::kill(const std::set<std::size_t> &nodes)
+{
+    for (const std::size_t index : nodes)
+        m_nodes[index]->isRunning = false;
+}
+
+Duration CatalogWorld::longestDelay() const
+{
+    Duration longest = m_longestDelay;
+    for (const auto &node : m_nodes) {
+        const ConfigVersion held = node->inForce ? node->inForce->version : ConfigVersion();
+        const auto missing = std::ranges::find_if(m_history, [held](const Accepted &accepted) {
+            return accepted.config->version > held;
+        });
+        if (node->isRunning && missing != m_history.end())
+            longest = std::max(longest, m_events.now() - missing->at);
+    }
+    return longest;
+}
+
+bool CatalogWorld::isSettled() const
+{
+    const MeshConfig &newest = *m_history.back().config;
+    return std::ranges::all_of(m_nodes, [&](const auto &node) {
+        if (!node->isRunning)
+            return true;
+        if (!node->inForce || node->inForce->version != newest.version
+            || node->inForce->hostRoutes.size() != newest.routes.size())
+            return false;
+        return std::ranges::all_of(newest.routes, [&](const HostRoute &route) {
+            const HostRoute *held = node->inForce->hostRoutes.find(route.host, route.policy.prefix);
+            return held != nullptr && *held == route;
+        });
+    });
+}
+
+void CatalogWorld::give(std::size_t index, Catalog::Input input)
+{
+    if (!m_nodes[index]->isRunning)
+        return;
+    Outbox<Catalog::Output> outbox;
+    m_nodes[index]->catalog.process(std::move(input), m_events.now(), outbox);
+    collect(index, outbox);
+}
+
+void CatalogWorld::collect(std::size_t index, Outbox<Catalog::Output> &outbox)
+{
+    for (auto &output : outbox.take()) {
+        std::visit(
+            Overloaded {
+                [&](StoreCall &call) { onCall(index, call); },
+                [&](PeerSend &send) { onSend(index, std::move(send)); },
+                [&](SnapshotChanged &changed) { onInForce(index, std::move(changed.snapshot)); },
+                [](auto &) {},
+            },
+            output);
+    }
+    schedule(index);
+}
+
+void CatalogWorld::schedule(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    const auto deadline = node.catalog.nextDeadline();
+    if (!deadline)
+        return;
+    const std::uint64_t wakeUp = ++node.wakeUp;
+    m_events.at(*deadline, [this, index, wakeUp] {
+        Node &woken = *m_nodes[index];
+        if (woken.wakeUp != wakeUp || !woken.isRunning)
+            return;
+        Outbox<Catalog::Output> outbox;
+        woken.catalog.advance(m_events.now(), outbox);
+        collect(index, outbox);
+    });
+}
+
+// Links carry one transfer after the other, in each direction.
+TimePoint CatalogWorld::transfer(Link *from, Link &to, std::size_t bytes) const
+{
+    const Duration span(bytes * 1'000'000 / m_options.linkBytesPerSecond);
+    TimePoint end = m_events.now() + span;
+    if (from != nullptr)
+        end = from->freeAt = std::max(from->freeAt, m_events.now()) + span;
+    return to.freeAt = std::max(end + latency, to.freeAt + span);
+}
+
+void CatalogWorld::onSend(std::size_t from, PeerSend &&send)
+{
+    const std::size_t to = send.to.port - firstPort;
+    const NetAddress sender = endpointOf(from).peer;
+    const std::size_t bytes = impl::encodePayload({ sender, send.message }).size();
+    m_peerBytes += bytes;
+    const TimePoint arrival = transfer(&m_nodes[from]->up, m_nodes[to]->down, bytes);
+    auto message
+        = std::make_shared<CatalogMessage>(std::move(std::get<CatalogMessage>(send.message)));
+    m_events.at(arrival, [this, to, sender, message] {
+        give(to, PeerReceived<CatalogMessage> { sender, std::move(*message) });
+    });
+}
+
+void CatalogWorld::onCall(std::size_t index, const StoreCall &call)
+{
+    ++m_storeCalls;
+    std::size_t configs = 0;
+    if (const auto *follow = std::get_if<StoreFollow>(&call.operation)) {
+        const std::uint64_t number = ++m_nextWatch;
+        m_waiting.push_back({ index, call.id, *follow, number });
+        m_events.after(follow->wait, [this, number] {
+            const auto found = std::ranges::find(m_waiting, number, &Waiting::number);
+            if (found == m_waiting.end())
+                return;
+            const Waiting ended = *found;
+            m_waiting.erase(found);
+            reply(ended.node, ended.call, StoreEntries { {}, ended.follow.since, false }, 0);
+        });
+        answerWaiting();
+        return;
+    }
+    const auto *list = std::get_if<StoreList>(&call.operation);
+    if (list == nullptr) {
+        reply(index, call.id, StoreWritten { ObjectVersion(5) }, 0);
+        return;
+    }
+    StoreEntries entries;
+    entries.at = m_history.back().object;
+    if (list->kind == StoreKind::Configuration) {
+        configs = 1;
+        entries.entries.push_back(
+            { "main", m_history.back().object, false, m_history.back().config });
+    }
+    reply(index, call.id, std::move(entries), configs);
+}
+
+StoreEntries CatalogWorld::entriesSince(ObjectVersion since, std::size_t &configs) const
+{
+    StoreEntries entries;
+    entries.at = m_history.back().object;
+    for (const Accepted &accepted : m_history) {
+        if (accepted.object <= since)
+            continue;
+        ++configs;
+        entries.entries.push_back({ "main", accepted.object, false, accepted.config });
+    }
+    return entries;
+}
+
+void CatalogWorld::answerWaiting()
+{
+    std::vector<Waiting> due;
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        const bool isDue = waiting.follow.kind == StoreKind::Configuration
+            && waiting.follow.since < m_history.back().object;
+        if (isDue)
+            due.push_back(waiting);
+        return isDue;
+    });
+    for (const Waiting &waiting : due) {
+        std::size_t configs = 0;
+        StoreEntries entries = entriesSince(waiting.follow.since, configs);
+        reply(waiting.node, waiting.call, std::move(entries), configs);
+    }
+}
+
+// A silent store ends a call by the timeout of the endpoint that makes it.
+void CatalogWorld::reply(std::size_t index, StoreCallId call, StoreResult result,
+                         std::size_t configs)
+{
+    if (m_silenced.contains(index)) {
+        m_events.after(milliseconds(1500), [this, index, call] {
+            give(index, StoreReply { call, StoreSilence {} });
+        });
+        return;
+    }
+    const std::size_t bytes = replyHeadBytes + configs * m_options.routes * routeBytesInStore;
+    m_storeBytes += bytes;
+    const auto held = std::make_shared<StoreResult>(std::move(result));
+    m_events.at(transfer(nullptr, m_nodes[index]->down, bytes), [this, index, call, held] {
+        give(index, StoreReply { call, std::move(*held) });
+    });
+}
+
+void CatalogWorld::onInForce(std::size_t index, std::shared_ptr<const Snapshot> snapshot)
+{
+    Node &node = *m_nodes[index];
+    const ConfigVersion before = node.inForce ? node.inForce->version : ConfigVersion();
+    for (const Accepted &accepted : m_history) {
+        const ConfigVersion version = accepted.config->version;
+        if (version > before && version <= snapshot->version)
+            m_longestDelay = std::max(m_longestDelay, m_events.now() - accepted.at);
+    }
+    node.inForce = std::move(snapshot);
+}
+
+} // namespace camphorreach
