Send nodes what changed, one answer at a time, and give each copy an age

Cause: every version went whole, 300 kB and more, to every node, as often as somebody told of it. A node asked anew each 150 ms while an answer took longer than that on 10 Mbit/s, and whoever was asked queued the version that it had then. Answers waited behind each other, older ones first. More than half of them brought nothing new. Class of fault: state is pushed at a rate that the receiver doesn't control, and a limit on sending again looks at the clock, not at what is sent. Change: VersionedConfig holds since when each route is as it is, so a node is sent what changed since its own version; the digest of the result is checked before anything is applied. A node has one question under way, whoever is asked answers with the newest at that time, in a datagram when it fits. A watcher that got more than one version at once reads the newest alone until it is level. A copy has an age, the time since the store was last known to hold nothing newer, so hearing from a stale node no longer counts as being up to date: a node whose copy is older than 6 s watches the store. Nodes that are stopping or suspected are not counted as watchers. The reading of stale copies each 5 s, a whole configuration by each node, goes: the age does its work. Two tests of the old exchange are replaced by ones of question and answer; othersWatch_readsStaleCopiesNowAndThen by othersAreUpToDate_storeIsNotCalled and othersAreStale_watchesTheStore, which ask more: no call at all while the age is low, and a watch when it is not. The protocol version is raised.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -1,6 +1,7 @@
 // Catalog: the filter that follows the platform's store and shares what it holds with other nodes.
 #pragma once
 
+#include <camphorreach/catalogspread.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/membership.h>
@@ -8,10 +9,10 @@
 #include <camphorreach/random.h>
 #include <camphorreach/snapshot.h>
 #include <camphorreach/store.h>
+#include <camphorreach/versionedconfig.h>
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -26,10 +27,17 @@
     ConfigVersion held; ///< In force when it came.
     std::optional<NetAddress> from; ///< The node that sent it; empty for the store.
     std::size_t routes = 0; ///< That it carries.
+    bool isUnusable = false; ///< It could not be applied to what was held.
+    /// Since the store was last known to hold nothing newer; empty while that is not known.
+    std::optional<Duration> age {};
 };
 
 /// Follows configuration and orders, registers this node and finds others. While the store cannot
 /// be reached, other nodes stand in for it. The version in force never decreases.
+///
+/// A few nodes of each failure domain watch the store. What the others hold has an age: the time
+/// since the store was last known, through whomever, to hold nothing newer. Hearing from a node
+/// that is as stale doesn't lower it. A node whose copy gets too old watches the store itself.
 class Catalog
 {
 public:
@@ -50,9 +58,11 @@
     [[nodiscard]] std::optional<TimePoint> nextDeadline() const;
 
     /// The version in force; zero while none is known.
-    [[nodiscard]] ConfigVersion version() const noexcept;
+    [[nodiscard]] ConfigVersion version() const noexcept { return m_config.version(); }
     /// Calls to the store that were refused or got no answer.
     [[nodiscard]] std::uint64_t failedCalls() const noexcept { return m_failedCalls; }
+    /// Since the store was last known to hold nothing newer; empty while that is not known.
+    [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
 
 private:
     // Follows one kind: lists it, then asks for changes, and starts again when history is lost.
@@ -62,8 +72,11 @@
         std::optional<ObjectVersion> at {}; // empty until the list is complete
         std::string after {}; // the next page
         std::optional<StoreCallId> call {}; // under way
-        TimePoint nextCall {};
+        std::optional<TimePoint> nextCall = TimePoint {}; // empty while others watch
         std::uint32_t failures = 0; // consecutive
+        bool isOvertaken = false; // other nodes have brought more than the store's history since
+        bool isBehind = false; // more than one change came at once, so only the newest is read
+        std::optional<TimePoint> confirmedAt {}; // the store held nothing newer
     };
 
     void onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
@@ -71,31 +84,45 @@
     void onRegistered(const StoreResult &result, TimePoint now);
     void onEntries(Follower &follower, StoreEntries &entries, TimePoint now,
                    Outbox<Output> &outbox);
+    void onListEnd(Follower &follower, ObjectVersion at, std::size_t changes, bool isNews,
+                   TimePoint now);
+    void onNodes(Follower &follower, TimePoint now, Outbox<Output> &outbox);
     void onFailure(Follower &follower, const StoreResult &result, TimePoint now);
     void onMessage(PeerReceived<CatalogMessage> &received, TimePoint now, Outbox<Output> &outbox);
-    void onAdvert(const NetAddress &from, const CatalogAdvert &advert, TimePoint now,
+    void onAdvert(const NetAddress &from, const CatalogAdvert &theirs, TimePoint now,
+                  Outbox<Output> &outbox);
+    void onPull(const NetAddress &from, const CatalogPull &pull, TimePoint now,
+                Outbox<Output> &outbox);
+    void onUpdate(const NetAddress &from, const CatalogUpdate &update, TimePoint now,
                   Outbox<Output> &outbox);
     // Each returns whether it was news.
-    bool apply(std::shared_ptr<const MeshConfig> config, std::optional<NetAddress> from,
-               Outbox<Output> &outbox);
-    [[nodiscard]] bool apply(const RolloutOrder &order);
-    void advertise(TimePoint now, Outbox<Output> &outbox);
-    void spread(Outbox<Output> &outbox);
-    void onEndpoints(const EndpointTable &table);
+    bool take(const MeshConfig &config, TimePoint now, Outbox<Output> &outbox);
+    bool take(const NetAddress &from, const ConfigChanges &changes, TimePoint now,
+              Outbox<Output> &outbox);
+    [[nodiscard]] bool take(const RolloutOrder &order);
+    void putInForce(Outbox<Output> &outbox);
+    // Tells of news once all that came with it has been taken.
+    void tell(bool haveOrdersChanged, bool isNews, TimePoint now, Outbox<Output> &outbox);
+    void confirm(const CatalogExtent &theirs, TimePoint at);
+    void pull(TimePoint now, CatalogSpread::Sends &sends);
+    [[nodiscard]] bool waitsForStore(TimePoint now) const;
+    [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
+    [[nodiscard]] TimePoint watchesFrom() const;
     [[nodiscard]] bool isWatcher(TimePoint now) const;
     void updateWatch(TimePoint now);
     void call(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox);
     void follow(Follower &follower, TimePoint now, Outbox<Output> &outbox);
-    [[nodiscard]] CatalogAdvert advert(bool isAnswer) const;
-    [[nodiscard]] std::vector<RolloutOrder> orders() const;
-    [[nodiscard]] ObjectVersion newestOrder() const;
+    [[nodiscard]] CatalogExtent extent() const;
+    [[nodiscard]] CatalogAdvert advert(TimePoint now) const;
+    [[nodiscard]] std::vector<RolloutOrder> ordersSince(ObjectVersion version) const;
     [[nodiscard]] Duration pauseAfter(std::uint32_t failures);
 
     const Endpoint m_self;
     const Options m_options;
     RandomSource &m_random;
-    std::shared_ptr<const MeshConfig> m_config; // its version never decreases
+    VersionedConfig m_config;
     std::map<ServiceName, RolloutOrder> m_orders; // object versions never decrease
+    CatalogSpread m_spread;
     Follower m_configuration { StoreKind::Configuration };
     Follower m_rollouts { StoreKind::Rollouts };
     Follower m_nodes { StoreKind::Nodes };
@@ -104,14 +131,10 @@
     std::optional<StoreCallId> m_registration; // under way
     std::optional<TimePoint> m_nextRegistration = TimePoint {}; // empty once registered
     bool m_isRegistered = false; // the record may exist, so it is replaced rather than created
-    std::vector<NetAddress> m_near; // nodes of this failure domain, without this one
-    std::vector<NetAddress> m_far; // all other nodes
-    std::map<NetAddress, TimePoint> m_updated; // when a peer was last sent an update; bounded
-    std::optional<TimePoint> m_nextAdvert;
-    bool m_isSelected = true; // watches the store for its failure domain
-    bool m_isWatching = true; // as last acted on
+    std::optional<TimePoint> m_startedAt; // of the first advance()
+    std::optional<TimePoint> m_toldAt; // as confirmedAt of a follower, through other nodes
     TimePoint m_heardPeer {}; // last message of another node
-    std::optional<TimePoint> m_asked; // when another node was last asked for what it has more
+    bool m_isWatching = true; // as last acted on
     std::uint64_t m_nextCall = 1;
     std::uint64_t m_failedCalls = 0;
 };
--- a/include/camphorreach/impl/archive.h
+++ b/include/camphorreach/impl/archive.h
@@ -8,6 +8,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/include/camphorreach/impl/wire.h
+++ b/include/camphorreach/impl/wire.h
@@ -12,7 +12,7 @@
 namespace camphorreach::impl {
 
 /// Raised with each change that an older node cannot read.
-inline constexpr std::uint8_t protocolVersion = 3;
+inline constexpr std::uint8_t protocolVersion = 4;
 /// Bytes before the payload of a frame: its length as four bytes, most significant first.
 inline constexpr std::size_t frameHeaderBytes = 4;
 
--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -36,7 +36,6 @@
 [[nodiscard]] std::uint32_t weightOfRank(std::uint32_t rank) noexcept;
 
 /// The snapshot that serves \a config. \a retryBudget applies to each of its services.
-[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(const MeshConfig &config,
-                                                         Share retryBudget);
+[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget);
 
 } // namespace camphorreach
--- a/include/camphorreach/routetable.h
+++ b/include/camphorreach/routetable.h
@@ -60,6 +60,9 @@
     friend bool operator==(const HttpLimits &, const HttpLimits &) = default;
 };
 
+/// A host as routes compare it: in lower case and without a port.
+[[nodiscard]] std::string canonicalHost(std::string_view host);
+
 /// Routes by host. Among those of a host, the longest prefix that begins the path is selected.
 class RouteTable
 {
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -129,9 +129,16 @@
 }
 
 template <typename Archive>
-void serialize(Archive &archive, MeshConfig &config)
+void serialize(Archive &archive, RouteKey &key)
 {
-    archive(config.version, config.routes, config.services, config.limits);
+    archive(key.host, key.prefix);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigChanges &changes)
+{
+    archive(changes.base, changes.version, changes.digest, changes.set, changes.removed,
+            changes.services, changes.limits);
 }
 
 template <typename Archive>
@@ -140,16 +147,28 @@
     archive(order.service, order.target, order.ramp, order.state, order.version);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, CatalogExtent &extent)
+{
+    archive(extent.config, extent.orders);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, CatalogAdvert &advert)
 {
-    archive(advert.config, advert.orders, advert.isAnswer);
+    archive(advert.extent, advert.age, advert.isAnswer);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CatalogPull &pull)
+{
+    archive(pull.extent);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, CatalogUpdate &update)
 {
-    archive(update.config, update.orders);
+    archive(update.extent, update.config, update.orders, update.age);
 }
 
 template <typename Archive>
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -4,7 +4,7 @@
 #include <camphorreach/result.h>
 
 #include <algorithm>
-#include <iterator>
+#include <memory>
 #include <utility>
 
 namespace camphorreach {
@@ -16,16 +16,27 @@
 constexpr Duration watchTime = std::chrono::seconds(3);
 // Some nodes of each failure domain watch the store, and the others hear from them: so many that a
 // refusal of a third of the machines hardly ever meets all watchers of a region.
-constexpr std::ptrdiff_t watchersPerDomain = 3;
-// The others read the store this often, from stale copies, in case that no watcher reaches it.
-constexpr Duration backupInterval = std::chrono::seconds(5);
+constexpr std::size_t watchersPerDomain = 3;
 // A node hears two adverts a second on average; without any for this time it is cut off from the
 // other nodes and watches the store itself.
 constexpr Duration peerSilence = std::chrono::seconds(4);
-// Nodes of the failure domain that are told news at once; each of them tells as many.
-constexpr std::size_t spreadFanOut = 3;
-// Several nodes tell of the same news within milliseconds; one of them is asked for it.
-constexpr Duration askInterval = std::chrono::milliseconds(150);
+// So does one whose copy was last confirmed this long ago. A watch confirms it every 3 s, and the
+// news of that takes some adverts to reach everybody.
+constexpr Duration staleAfter = std::chrono::seconds(6);
+// Those that take over for stale watchers begin one after the other, so that what the first one
+// reads spares the others the calls.
+constexpr Duration takeoverStep = std::chrono::milliseconds(100);
+// What a message may have waited on its way, added to the age that it states. Without it, an age
+// that is passed on in circles would grow more slowly than time.
+constexpr Duration transitAllowance = std::chrono::milliseconds(20);
+constexpr Duration unknownAge = std::chrono::hours(24); // the highest that is stated
+// A node that starts takes the configuration from the store rather than from others, unless the
+// store takes longer than this.
+constexpr Duration startPatience = std::chrono::seconds(1);
+// Leaves room for the envelope in a datagram of 1,400 bytes.
+constexpr std::size_t maxDatagramUpdate = 1200;
+constexpr std::size_t fixedUpdateBytes = 64;
+constexpr std::size_t fixedOrderBytes = 40;
 // Nodes are only listed to find those that gossip has lost, so it may be slow and stale.
 constexpr Duration listInterval = std::chrono::seconds(20);
 // Nodes that start together are entered within a second or two of each other.
@@ -34,18 +45,27 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(150);
 constexpr Duration longestBackoff = std::chrono::milliseconds(1200);
 constexpr std::uint32_t maxDoublings = 3;
-// A node that is cut off from the store hears of a change within about this time.
-constexpr Duration advertInterval = std::chrono::milliseconds(500);
-// An update that is on its way need not be sent again.
-constexpr Duration updateInterval = std::chrono::milliseconds(800);
-constexpr std::size_t maxUpdated = 256;
-// One advert in so many goes to another failure domain.
-constexpr std::uint64_t farOneIn = 3;
+
+Transport transportOf(const CatalogUpdate &update)
+{
+    std::size_t bytes = fixedUpdateBytes;
+    if (update.config)
+        bytes += encodedSizeBound(*update.config);
+    for (const RolloutOrder &order : update.orders)
+        bytes += fixedOrderBytes + order.service.value().size() + order.target.value().size();
+    return bytes <= maxDatagramUpdate ? Transport::Datagram : Transport::Stream;
+}
+
+void emit(CatalogSpread::Sends &&sends, Outbox<Catalog::Output> &outbox)
+{
+    for (PeerSend &send : sends)
+        outbox.emit(std::move(send));
+}
 
 } // namespace
 
 Catalog::Catalog(Endpoint self, Options options, RandomSource &random)
-    : m_self(std::move(self)), m_options(options), m_random(random)
+    : m_self(std::move(self)), m_options(options), m_random(random), m_spread(m_self, random)
 { }
 
 void Catalog::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -54,45 +74,52 @@
         Overloaded {
             [&](StoreReply &reply) { onReply(reply, now, outbox); },
             [&](PeerReceived<CatalogMessage> &received) { onMessage(received, now, outbox); },
-            [&](EndpointsChanged &changed) { onEndpoints(*changed.table); },
+            [&](EndpointsChanged &changed) { m_spread.update(*changed.table); },
         },
         input);
     advance(now, outbox);
 }
 
-void Catalog::onEndpoints(const EndpointTable &table)
+std::optional<TimePoint> Catalog::confirmedAt() const
 {
-    m_near.clear();
-    m_far.clear();
-    for (const auto &[service, endpoints] : table.services) {
-        for (const Endpoint &endpoint : endpoints) {
-            if (endpoint.peer != m_self.peer)
-                (endpoint.domain == m_self.domain ? m_near : m_far).push_back(endpoint.peer);
-        }
-    }
-    const auto before = std::ranges::count_if(
-        m_near, [this](const NetAddress &peer) { return peer < m_self.peer; });
-    m_isSelected = before < watchersPerDomain;
+    std::optional<TimePoint> byStore;
+    if (m_configuration.confirmedAt && m_rollouts.confirmedAt)
+        byStore = std::min(*m_configuration.confirmedAt, *m_rollouts.confirmedAt);
+    return std::max(byStore, m_toldAt); // an empty one is the smaller
+}
+
+std::optional<Duration> Catalog::age(TimePoint now) const
+{
+    const auto at = confirmedAt();
+    return at ? std::optional(now - *at) : std::nullopt;
+}
+
+// When a node that is not selected begins to watch.
+TimePoint Catalog::watchesFrom() const
+{
+    const auto at = confirmedAt();
+    const TimePoint isStale = at.value_or(m_startedAt.value_or(TimePoint {})) + staleAfter
+        + takeoverStep * static_cast<Duration::rep>(m_spread.rank());
+    return std::min(m_heardPeer + peerSilence, isStale);
 }
 
 bool Catalog::isWatcher(TimePoint now) const
 {
-    return m_isSelected || now - m_heardPeer >= peerSilence;
+    return m_spread.rank() < watchersPerDomain || now >= watchesFrom();
 }
 
-// A node that begins to watch must not wait for its next reading of a stale copy.
+// Following on from where the store was read last would bring each version that other nodes have
+// brought since, so a new watcher reads the newest first.
 void Catalog::updateWatch(TimePoint now)
 {
     const bool watched = std::exchange(m_isWatching, isWatcher(now));
     if (watched || !m_isWatching)
         return;
-    for (Follower *follower : { &m_configuration, &m_rollouts })
-        follower->nextCall = std::min(follower->nextCall, now);
-}
-
-ConfigVersion Catalog::version() const noexcept
-{
-    return m_config ? m_config->version : ConfigVersion();
+    for (Follower *follower : { &m_configuration, &m_rollouts }) {
+        if (std::exchange(follower->isOvertaken, false))
+            follower->at.reset();
+        follower->nextCall = std::min(follower->nextCall.value_or(now), now);
+    }
 }
 
 void Catalog::onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox)
@@ -144,33 +171,50 @@
 {
     follower.failures = 0;
     bool haveOrdersChanged = false;
-    bool isNews = false;
+    std::size_t configs = 0;
+    std::shared_ptr<const MeshConfig> newest;
     for (StoreEntry &entry : entries.entries) {
         if (auto *config = std::get_if<std::shared_ptr<const MeshConfig>>(&entry.value)) {
-            isNews = apply(std::move(*config), std::nullopt, outbox) || isNews;
+            ++configs;
+            if (!newest || newest->version < (*config)->version)
+                newest = std::move(*config);
         } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
-            haveOrdersChanged = apply(*order) || haveOrdersChanged;
+            haveOrdersChanged = take(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
             if (node->peer != m_self.peer && m_known.size() < maxKnown)
                 m_known.push_back(node->peer);
         }
     }
-    if (haveOrdersChanged)
-        outbox.emit(OrdersChanged { orders() });
-    if (isNews || haveOrdersChanged)
-        spread(outbox);
     follower.nextCall = now;
-    if (entries.hasMore && !entries.entries.empty()) {
-        follower.after = entries.entries.back().name;
-        return;
-    }
-    follower.after.clear();
-    if (follower.kind != StoreKind::Nodes) {
-        follower.at = entries.at;
-        if (!isWatcher(now))
-            follower.nextCall = now + backupInterval;
-        return;
-    }
+    const bool hasMore = entries.hasMore && !entries.entries.empty();
+    follower.after = hasMore ? entries.entries.back().name : std::string();
+    const bool isNewer = newest && newest->version > version();
+    if (!hasMore && follower.kind == StoreKind::Nodes)
+        onNodes(follower, now, outbox);
+    else if (!hasMore)
+        onListEnd(follower, entries.at, configs, isNewer, now);
+    const bool isNews = newest && take(*newest, now, outbox);
+    tell(haveOrdersChanged, isNews, now, outbox);
+}
+
+// A watch brings each version whole. When more than one came while the last answer was on its way,
+// only the newest is read until there is no news, so that a node is never behind by more than the
+// time that one version takes.
+void Catalog::onListEnd(Follower &follower, ObjectVersion at, std::size_t changes, bool isNews,
+                        TimePoint now)
+{
+    follower.confirmedAt = now;
+    follower.isOvertaken = false;
+    follower.isBehind = changes > 1 || (follower.isBehind && isNews);
+    follower.at = at;
+    if (follower.isBehind)
+        follower.at.reset();
+    else if (!isWatcher(now))
+        follower.nextCall.reset();
+}
+
+void Catalog::onNodes(Follower &follower, TimePoint now, Outbox<Output> &outbox)
+{
     const bool isAlone = m_known.empty();
     if (!isAlone)
         outbox.emit(JoinPeers { std::exchange(m_known, {}) });
@@ -192,6 +236,8 @@
     ++m_failedCalls;
     follower.nextCall = now + pauseAfter(follower.failures);
     follower.failures = std::min(follower.failures + 1, maxDoublings);
+    if (follower.at && follower.kind != StoreKind::Nodes && !isWatcher(now))
+        follower.nextCall.reset();
 }
 
 void Catalog::onMessage(PeerReceived<CatalogMessage> &received, TimePoint now,
@@ -201,18 +247,8 @@
     std::visit(
         Overloaded {
             [&](const CatalogAdvert &advert) { onAdvert(received.from, advert, now, outbox); },
-            [&](CatalogUpdate &update) {
-                bool haveOrdersChanged = false;
-                for (const RolloutOrder &order : update.orders)
-                    haveOrdersChanged = apply(order) || haveOrdersChanged;
-                const bool isNews
-                    = apply(std::make_shared<const MeshConfig>(std::move(update.config)),
-                            received.from, outbox);
-                if (haveOrdersChanged)
-                    outbox.emit(OrdersChanged { orders() });
-                if (isNews || haveOrdersChanged)
-                    spread(outbox);
-            },
+            [&](const CatalogPull &pull) { onPull(received.from, pull, now, outbox); },
+            [&](const CatalogUpdate &update) { onUpdate(received.from, update, now, outbox); },
         },
         received.message);
 }
@@ -220,38 +256,113 @@
 void Catalog::onAdvert(const NetAddress &from, const CatalogAdvert &theirs, TimePoint now,
                        Outbox<Output> &outbox)
 {
-    const CatalogAdvert own = advert(true);
-    const bool hasMore = theirs.config < own.config || theirs.orders < own.orders;
-    if (hasMore && m_config) {
-        TimePoint &updated = m_updated[from];
-        if (updated == TimePoint {} || now - updated >= updateInterval) {
-            updated = now;
-            outbox.emit(PeerSend { from, Transport::Stream,
-                                   CatalogMessage(CatalogUpdate { *m_config, orders() }) });
+    if (theirs.age >= Duration::zero())
+        confirm(theirs.extent, now - std::min(theirs.age, unknownAge));
+    CatalogSpread::Sends sends;
+    m_spread.onAdvert(from, theirs, advert(now), sends);
+    pull(now, sends);
+    emit(std::move(sends), outbox);
+}
+
+void Catalog::onPull(const NetAddress &from, const CatalogPull &asked, TimePoint now,
+                     Outbox<Output> &outbox)
+{
+    const CatalogExtent own = extent();
+    if (asked.extent.lacks(own)) {
+        const CatalogAdvert stated = advert(now);
+        CatalogUpdate update { own, std::nullopt, ordersSince(asked.extent.orders), stated.age };
+        if (asked.extent.config < own.config)
+            update.config = m_config.changesSince(asked.extent.config);
+        if (m_spread.maySend(from, update, now)) {
+            const Transport transport = transportOf(update);
+            outbox.emit(PeerSend { from, transport, CatalogMessage(std::move(update)) });
         }
-        if (m_updated.size() > maxUpdated)
-            m_updated.clear();
     }
-    const bool hasLess = own.config < theirs.config || own.orders < theirs.orders;
-    if (!hasLess || theirs.isAnswer || (m_asked && now - *m_asked < askInterval))
-        return;
-    m_asked = now;
-    outbox.emit(PeerSend { from, Transport::Datagram, CatalogMessage(own) });
+    CatalogSpread::Sends sends;
+    m_spread.onSource(from, asked.extent, own);
+    pull(now, sends);
+    emit(std::move(sends), outbox);
 }
 
-bool Catalog::apply(std::shared_ptr<const MeshConfig> config, std::optional<NetAddress> from,
-                    Outbox<Output> &outbox)
+void Catalog::onUpdate(const NetAddress &from, const CatalogUpdate &update, TimePoint now,
+                       Outbox<Output> &outbox)
 {
-    outbox.emit(
-        ConfigurationHeard { config->version, version(), std::move(from), config->routes.size() });
-    if (config->version <= version())
+    const auto askedAt = m_spread.onUpdate(from);
+    bool haveOrdersChanged = false;
+    for (const RolloutOrder &order : update.orders)
+        haveOrdersChanged = take(order) || haveOrdersChanged;
+    const bool isNews = update.config && take(from, *update.config, now, outbox);
+    m_configuration.isOvertaken = m_configuration.isOvertaken || isNews;
+    m_rollouts.isOvertaken = m_rollouts.isOvertaken || haveOrdersChanged;
+    // The update may have waited on its way, but it was made after the question was sent.
+    if (askedAt && update.age >= Duration::zero())
+        confirm(update.extent, *askedAt - std::min(update.age, unknownAge));
+    m_spread.onSource(from, update.extent, extent());
+    tell(haveOrdersChanged, isNews, now, outbox);
+}
+
+void Catalog::confirm(const CatalogExtent &theirs, TimePoint at)
+{
+    if (!extent().lacks(theirs))
+        m_toldAt = std::max(m_toldAt, std::optional(at));
+}
+
+bool Catalog::take(const MeshConfig &config, TimePoint now, Outbox<Output> &outbox)
+{
+    outbox.emit(ConfigurationHeard { config.version, version(), std::nullopt, config.routes.size(),
+                                     false, age(now) });
+    if (m_config.take(config) != VersionedConfig::Effect::Applied)
         return false;
-    m_config = std::move(config);
-    outbox.emit(SnapshotChanged { snapshotOf(*m_config, m_options.retryBudget) });
+    putInForce(outbox);
     return true;
 }
 
-bool Catalog::apply(const RolloutOrder &order)
+bool Catalog::take(const NetAddress &from, const ConfigChanges &changes, TimePoint now,
+                   Outbox<Output> &outbox)
+{
+    const ConfigVersion held = version();
+    const VersionedConfig::Effect effect = m_config.take(changes);
+    const bool isUnusable = effect == VersionedConfig::Effect::Unusable;
+    outbox.emit(ConfigurationHeard { changes.version, held, from,
+                                     changes.set.size() + changes.removed.size(), isUnusable,
+                                     age(now) });
+    if (isUnusable)
+        m_spread.onUnusable();
+    if (effect != VersionedConfig::Effect::Applied)
+        return false;
+    putInForce(outbox);
+    return true;
+}
+
+void Catalog::putInForce(Outbox<Output> &outbox)
+{
+    outbox.emit(SnapshotChanged { snapshotOf(m_config.config(), m_options.retryBudget) });
+}
+
+void Catalog::tell(bool haveOrdersChanged, bool isNews, TimePoint now, Outbox<Output> &outbox)
+{
+    if (haveOrdersChanged)
+        outbox.emit(OrdersChanged { ordersSince({}) });
+    CatalogSpread::Sends sends;
+    if (isNews || haveOrdersChanged)
+        m_spread.announce(advert(now), sends);
+    pull(now, sends);
+    emit(std::move(sends), outbox);
+}
+
+void Catalog::pull(TimePoint now, CatalogSpread::Sends &sends)
+{
+    if (!waitsForStore(now))
+        m_spread.pull(extent(), now, sends);
+}
+
+bool Catalog::waitsForStore(TimePoint now) const
+{
+    return version() == ConfigVersion() && m_configuration.call && m_configuration.failures == 0
+        && m_startedAt && now < *m_startedAt + startPatience;
+}
+
+bool Catalog::take(const RolloutOrder &order)
 {
     const auto found = m_orders.find(order.service);
     if (found != m_orders.end() && order.version <= found->second.version)
@@ -262,11 +373,11 @@
 
 void Catalog::advance(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_nextAdvert)
-        m_nextAdvert = now + advertInterval;
+    if (!m_startedAt)
+        m_startedAt = now;
     updateWatch(now);
     for (Follower *follower : { &m_configuration, &m_rollouts, &m_nodes }) {
-        if (!follower->call && now >= follower->nextCall)
+        if (!follower->call && follower->nextCall && now >= *follower->nextCall)
             follow(*follower, now, outbox);
     }
     if (!m_registration && m_nextRegistration && now >= *m_nextRegistration) {
@@ -278,8 +389,10 @@
         else
             call(*m_registration, StoreRegister { record }, outbox);
     }
-    if (now >= *m_nextAdvert)
-        advertise(now, outbox);
+    CatalogSpread::Sends sends;
+    m_spread.advance(advert(now), now, sends);
+    pull(now, sends);
+    emit(std::move(sends), outbox);
 }
 
 void Catalog::follow(Follower &follower, TimePoint now, Outbox<Output> &outbox)
@@ -291,22 +404,11 @@
         return;
     }
     follower.call = StoreCallId(m_nextCall++);
+    const bool mayBeStale = follower.kind == StoreKind::Nodes && m_spread.hasNearPeers();
     if (follower.at && isWatcher(now))
         call(*follower.call, StoreFollow { follower.kind, *follower.at, watchTime }, outbox);
     else
-        call(*follower.call,
-             StoreList { follower.kind, follower.after,
-                         follower.at || (follower.kind == StoreKind::Nodes && !m_near.empty()) },
-             outbox);
-}
-
-// Tells some nodes of the failure domain at once that there is news.
-void Catalog::spread(Outbox<Output> &outbox)
-{
-    std::vector<NetAddress> targets;
-    std::ranges::sample(m_near, std::back_inserter(targets), spreadFanOut, m_random);
-    for (const NetAddress &target : targets)
-        outbox.emit(PeerSend { target, Transport::Datagram, CatalogMessage(advert(false)) });
+        call(*follower.call, StoreList { follower.kind, follower.after, mayBeStale }, outbox);
 }
 
 void Catalog::call(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox)
@@ -314,38 +416,30 @@
     outbox.emit(StoreCall { id, std::move(operation) });
 }
 
-void Catalog::advertise(TimePoint now, Outbox<Output> &outbox)
+CatalogExtent Catalog::extent() const
 {
-    m_nextAdvert = now + advertInterval;
-    const bool goesFar = m_near.empty() || uniformBelow(m_random, farOneIn) == 0;
-    const std::vector<NetAddress> &peers = goesFar ? m_far : m_near;
-    if (peers.empty())
-        return;
-    outbox.emit(PeerSend { peers[uniformBelow(m_random, peers.size())], Transport::Datagram,
-                           CatalogMessage(advert(false)) });
+    CatalogExtent result { version(), {} };
+    for (const auto &[service, order] : m_orders)
+        result.orders = std::max(result.orders, order.version);
+    return result;
 }
 
-CatalogAdvert Catalog::advert(bool isAnswer) const
+CatalogAdvert Catalog::advert(TimePoint now) const
 {
-    return { version(), newestOrder(), isAnswer };
+    const Duration known = age(now).value_or(unknownAge) + transitAllowance;
+    return { extent(), std::min(known, unknownAge), false };
 }
 
-std::vector<RolloutOrder> Catalog::orders() const
+std::vector<RolloutOrder> Catalog::ordersSince(ObjectVersion version) const
 {
     std::vector<RolloutOrder> result;
-    for (const auto &[service, order] : m_orders)
-        result.push_back(order);
+    for (const auto &[service, order] : m_orders) {
+        if (order.version > version)
+            result.push_back(order);
+    }
     return result;
 }
 
-ObjectVersion Catalog::newestOrder() const
-{
-    ObjectVersion newest;
-    for (const auto &[service, order] : m_orders)
-        newest = std::max(newest, order.version);
-    return newest;
-}
-
 Duration Catalog::pauseAfter(std::uint32_t failures)
 {
     return backoff(firstBackoff, longestBackoff, failures, m_random);
@@ -353,14 +447,14 @@
 
 std::optional<TimePoint> Catalog::nextDeadline() const
 {
-    if (!m_nextAdvert)
+    if (!m_startedAt)
         return TimePoint {};
-    TimePoint next = *m_nextAdvert;
+    TimePoint next = m_spread.nextDeadline();
     if (!m_isWatching)
-        next = std::min(next, m_heardPeer + peerSilence);
+        next = std::min(next, watchesFrom());
     for (const Follower *follower : { &m_configuration, &m_rollouts, &m_nodes }) {
-        if (!follower->call)
-            next = std::min(next, follower->nextCall);
+        if (!follower->call && follower->nextCall)
+            next = std::min(next, *follower->nextCall);
     }
     if (!m_registration && m_nextRegistration)
         next = std::min(next, *m_nextRegistration);
--- a/src/filters/configuration/meshconfig.cpp
+++ b/src/filters/configuration/meshconfig.cpp
@@ -1,6 +1,8 @@
 // Snapshots of the configuration that lies in the platform's store.
 #include <camphorreach/meshconfig.h>
 
+#include <utility>
+
 namespace camphorreach {
 namespace {
 
@@ -14,11 +16,11 @@
     return rank < highestWeight ? highestWeight - rank : 1;
 }
 
-std::shared_ptr<const Snapshot> snapshotOf(const MeshConfig &config, Share retryBudget)
+std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget)
 {
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->version = config.version;
-    snapshot->hostRoutes = RouteTable(config.routes);
+    snapshot->hostRoutes = RouteTable(std::move(config.routes));
     snapshot->limits = config.limits;
     for (const MeshService &service : config.services) {
         ServicePolicy policy;
--- a/src/filters/configuration/routetable.cpp
+++ b/src/filters/configuration/routetable.cpp
@@ -6,9 +6,7 @@
 #include <numeric>
 
 namespace camphorreach {
-namespace {
 
-// Host names compare without regard to case, and a port is no part of them.
 std::string canonicalHost(std::string_view host)
 {
     const std::size_t colon = host.rfind(':');
@@ -19,8 +17,6 @@
     return result;
 }
 
-} // namespace
-
 RouteTable::RouteTable(std::vector<HostRoute> routes)
 {
     for (HostRoute &route : routes) {
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -35,6 +35,17 @@
         result.services.push_back({ ServiceName("orders"), 10 });
         return std::make_shared<const MeshConfig>(std::move(result));
     }
+    // What another node sends to one that holds nothing.
+    static CatalogUpdate update(std::uint64_t version, Duration age = {})
+    {
+        VersionedConfig held;
+        (void)held.take(*config(version));
+        return { { ConfigVersion(version), {} }, held.changesSince({}), {}, age };
+    }
+    static CatalogAdvert advert(std::uint64_t version, Duration age = {})
+    {
+        return { { ConfigVersion(version), {} }, age, false };
+    }
     static StoreEntries entries(StoreValue value, std::uint64_t at)
     {
         return { { { "main", ObjectVersion(at), false, std::move(value) } }, ObjectVersion(at) };
@@ -138,7 +149,7 @@
 TEST_CASE_METHOD(CatalogFixture, "Catalog_olderConfiguration_isNeverInForce")
 {
     answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, update(5) });
     answer(lastCall<StoreFollow>(StoreKind::Configuration), entries(config(6), 45));
     CHECK(versions == std::vector<std::uint64_t> { 7 });
     CHECK(catalog.version() == ConfigVersion(7));
@@ -170,25 +181,41 @@
 }
 
 // Guards against nodes that are cut off from the store and hear of nothing.
-TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasLess_isSentEverything")
+TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasLess_isToldAndSentWhatItAsksFor")
 {
     answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, advert(3) });
+    const auto *told = lastSent<CatalogAdvert>();
+    REQUIRE(told != nullptr);
+    CHECK(told->isAnswer);
+    CHECK(told->extent.config == ConfigVersion(7));
     process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 },
-                                           CatalogAdvert { ConfigVersion(3), {}, false } });
+                                           CatalogPull { { ConfigVersion(3), {} } } });
     const auto *update = lastSent<CatalogUpdate>();
     REQUIRE(update != nullptr);
-    CHECK(update->config.version == ConfigVersion(7));
+    REQUIRE(update->config);
+    CHECK(update->config->version == ConfigVersion(7));
+    CHECK(update->config->isComplete()); // what changed since version 3 is not known here
 }
 
-TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasMore_isAskedByTheOwnAdvert")
+TEST_CASE_METHOD(CatalogFixture, "Catalog_peerHasMore_isAsked")
 {
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 },
-                                           CatalogAdvert { ConfigVersion(9), {}, false } });
-    const auto *advert = lastSent<CatalogAdvert>();
-    REQUIRE(advert != nullptr);
-    CHECK(advert->isAnswer);
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(9), {} } });
-    CHECK(versions == std::vector<std::uint64_t> { 9 });
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, advert(9) });
+    const auto *pull = lastSent<CatalogPull>();
+    REQUIRE(pull != nullptr);
+    CHECK(pull->extent.config == ConfigVersion(3));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, update(9) });
+    CHECK(versions == std::vector<std::uint64_t> { 3, 9 });
+}
+
+// Guards against a node that starts and takes everything twice, from the store and from others.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_nothingHeld_asksOthersOnlyWhenTheStoreIsSlow")
+{
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, advert(9) });
+    CHECK(lastSent<CatalogPull>() == nullptr);
+    pass(seconds(1));
+    CHECK(lastSent<CatalogPull>() != nullptr);
 }
 
 // Guards against unreadable objects of other writers.
@@ -203,7 +230,7 @@
 TEST_CASE_METHOD(CatalogFixture, "Catalog_configurationHeard_isReportedWithItsOrigin")
 {
     answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(7), 44));
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, update(5) });
     REQUIRE(heard.size() == 2);
     CHECK(heard[0].version == ConfigVersion(7));
     CHECK_FALSE(heard[0].from);
@@ -244,10 +271,9 @@
     }
 
     // An advert of another node with this version.
-    void hear(std::uint64_t version, std::uint16_t from = 1)
+    void hear(std::uint64_t version, std::uint16_t from = 1, Duration age = {})
     {
-        process(PeerReceived<CatalogMessage> {
-            { "127.0.0.1", from }, CatalogAdvert { ConfigVersion(version), {}, false } });
+        process(PeerReceived<CatalogMessage> { { "127.0.0.1", from }, advert(version, age) });
     }
 
     [[nodiscard]] std::size_t callCount(StoreKind kind) const
@@ -262,20 +288,63 @@
 };
 
 // Guards against calls to the store that grow with the number of nodes.
-TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_othersWatch_readsStaleCopiesNowAndThen")
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_othersAreUpToDate_storeIsNotCalled")
 {
     answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
-    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+    answer(lastCall<StoreList>(StoreKind::Rollouts), StoreEntries { {}, ObjectVersion(40) });
     const std::size_t before = callCount(StoreKind::Configuration);
-    for (int i = 0; i < 9; ++i) {
+    for (int i = 0; i < 60; ++i) {
         pass(milliseconds(500));
-        hear(3);
+        hear(3, 1, milliseconds(500));
     }
     CHECK(callCount(StoreKind::Configuration) == before);
-    pass(milliseconds(600));
+    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+}
+
+// Guards against a node that trusts others which are as stale as itself: those that watch fall
+// silent or are turned away, and everybody goes on hearing from everybody.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_othersAreStale_watchesTheStore")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    answer(lastCall<StoreList>(StoreKind::Rollouts), StoreEntries { {}, ObjectVersion(40) });
+    Duration age {};
+    for (int i = 0; i < 14; ++i) {
+        pass(milliseconds(500));
+        age += milliseconds(500);
+        hear(3, 1, age);
+    }
+    const StoreCall *follow = lastCall<StoreFollow>(StoreKind::Configuration);
+    REQUIRE(follow != nullptr);
+    CHECK(std::get<StoreFollow>(follow->operation).since == ObjectVersion(40));
+}
+
+// Guards against a watch that brings, whole, each version that others have brought already.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_beginsToWatchAfterNewsOfOthers_listsFirst")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, update(9) });
+    const std::size_t before = callCount(StoreKind::Configuration);
+    pass(seconds(7));
     REQUIRE(callCount(StoreKind::Configuration) == before + 1);
     const StoreCall *list = lastCall<StoreList>(StoreKind::Configuration);
-    CHECK(std::get<StoreList>(list->operation).mayBeStale);
+    CHECK_FALSE(std::get<StoreList>(list->operation).mayBeStale);
+    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+}
+
+// Guards against counting on watchers that are stopping.
+TEST_CASE_METHOD(LargeDomainCatalogFixture, "Catalog_watchersStop_nextOnesWatch")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    REQUIRE(lastCall<StoreFollow>(StoreKind::Configuration) == nullptr);
+    auto table = std::make_shared<EndpointTable>();
+    for (std::uint16_t port = 1; port <= 9; ++port) {
+        table->services[ServiceName("orders")].push_back(
+            endpoint("n" + std::to_string(port), port));
+        if (port <= 3)
+            table->services[ServiceName("orders")].back().state = EndpointState::Draining;
+    }
+    process(EndpointsChanged { table });
+    CHECK(lastCall<StoreFollow>(StoreKind::Configuration) != nullptr);
 }
 
 // Guards against a node that is cut off from the others and misses what changes.
@@ -295,11 +364,11 @@
     answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
     CHECK(sends.size() == 3);
     sends.clear();
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, CatalogUpdate { *config(5), {} } });
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 2 }, update(5) });
     CHECK(versions.back() == 5);
     CHECK(sends.size() == 3);
     sends.clear();
-    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 3 }, CatalogUpdate { *config(5), {} } });
+    process(PeerReceived<CatalogMessage> { { "127.0.0.1", 3 }, update(5) });
     CHECK(sends.empty());
 }
 
@@ -311,9 +380,10 @@
     hear(4, 2);
     hear(4, 3);
     CHECK(sends.size() == 1);
-    pass(milliseconds(200)); // the one that was asked may have ended
-    hear(4, 3);
-    CHECK(sends.size() == 2);
+    pass(milliseconds(300)); // the one that was asked may have ended
+    REQUIRE(sends.size() == 2);
+    CHECK(std::holds_alternative<CatalogPull>(std::get<CatalogMessage>(sends[1].message)));
+    CHECK(sends[0].to != sends[1].to);
 }
 
 } // namespace
--- a/tests/configdelaytest.cpp
+++ b/tests/configdelaytest.cpp
@@ -22,8 +22,7 @@
 
 // Guards against whole configurations that wait behind each other on links of 10 Mbit/s (incident
 // inc1: a version in force 4.0 s after its acknowledgement).
-TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_largeConfigChangesOften_isInForceInTime",
-                 "[!mayfail]")
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_largeConfigChangesOften_isInForceInTime")
 {
     world.publishSeries(24, milliseconds(300));
     world.run(applyTime);
@@ -32,8 +31,7 @@
 }
 
 // Guards against a delay that grows with the number of versions that came.
-TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_tenChangesASecond_delayIsThatOfOneVersion",
-                 "[!mayfail]")
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_tenChangesASecond_delayIsThatOfOneVersion")
 {
     world.publishSeries(60, milliseconds(100));
     world.run(applyTime);
@@ -43,8 +41,7 @@
 
 // Guards against bytes between nodes that grow with what is held instead of with what changed: two
 // routes of some 150 bytes, once for each node, and the messages that tell of them.
-TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_twoRoutesChange_nodesExchangeOnlyThose",
-                 "[!mayfail]")
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_twoRoutesChange_nodesExchangeOnlyThose")
 {
     const std::uint64_t before = world.peerBytes();
     world.publish();
