Read the other entries of a list although one cannot be read

What operators of a system like ours saw: one entry of another writer, very deeply nested, with a number too large or a port out of range, and the machines that read the list stopped following it. A page that ended with an unreadable entry was read again from its beginning without end. A port out of range cost only its entry before. No process ended by itself: the parser bounds its depth.

--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -186,8 +186,12 @@
         }
     }
     follower.nextCall = now;
-    const bool hasMore = entries.hasMore && !entries.entries.empty();
-    follower.after = hasMore ? entries.entries.back().name : std::string();
+    // The name of an unreadable entry may be missing; a page that doesn't lead on ends the list.
+    std::string last;
+    for (const StoreEntry &entry : entries.entries)
+        last = std::max(last, entry.name);
+    const bool hasMore = entries.hasMore && last > follower.after;
+    follower.after = hasMore ? last : std::string();
     const bool isNewer = newest && newest->version > version();
     if (!hasMore && follower.kind == StoreKind::Nodes)
         onNodes(follower, now, outbox);
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -256,6 +256,27 @@
     CHECK(joined == std::vector<NetAddress> { { "127.0.0.1", 2 } });
 }
 
+// Guards against a node that reads the same page again and again because the last entry of it has
+// no name that can be read.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_pageEndsWithAnOddEntry_listGoesOn")
+{
+    const auto page = [](std::vector<std::string> names) {
+        StoreEntries result { {}, ObjectVersion(9), true };
+        for (std::string &name : names)
+            result.entries.push_back({ std::move(name), ObjectVersion(5), false, {} });
+        return result;
+    };
+    const auto after = [&] {
+        return std::get<StoreList>(lastCall<StoreList>(StoreKind::Rollouts)->operation).after;
+    };
+    answer(lastCall<StoreList>(StoreKind::Rollouts), page({ "a", "b", "" }));
+    CHECK(after() == "b");
+    answer(lastCall<StoreList>(StoreKind::Rollouts), page({ "", "c" }));
+    CHECK(after() == "c");
+    answer(lastCall<StoreList>(StoreKind::Rollouts), page({ "" }));
+    CHECK(lastCall<StoreFollow>(StoreKind::Rollouts) != nullptr);
+}
+
 class LargeDomainCatalogFixture : public CatalogFixture
 {
 protected:
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -174,6 +174,75 @@
     CHECK(order.version == ObjectVersion(4));
 }
 
+// Guards against one odd entry of another writer that costs the whole list, and with it the node
+// that follows it.
+TEST_CASE_METHOD(PlatformFixture, "Platform_oddEntryInAList_othersAreRead")
+{
+    const std::size_t depth = GENERATE(std::size_t { 40 }, std::size_t { 100'000 });
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    const std::string head = R"({"metadata":{"name":"n-2","revision":7},"spec":)";
+    const std::string odd = GENERATE_COPY(
+        head + deep + "}", head + R"({"peer":)" + deep + "}}", head + R"({"peer":1e999999999999}})",
+        head + R"({"peer":")" + std::string(400, '9') + R"("}})",
+        head + R"({"peer":)" + std::string(400, '9') + "}}", head + R"({"peer":"10.1.0.2:70000"}})",
+        head + R"({"peer":"10.1.0.2:-1"}})", head + "\"\xff\xfe\"}",
+        std::string(R"({"metadata":{"name":"n-2","revision":1e99999999999}})"), std::string("null"),
+        std::string("5"), deep);
+    const auto record = [](const char *name, const char *peer) {
+        return std::string(R"({"metadata":{"name":")") + name
+            + R"(","revision":5},"spec":{"peer":")" + peer + R"("}})";
+    };
+    const std::string items
+        = record("n-1", "10.1.0.1:7000") + "," + odd + "," + record("n-3", "10.1.0.3:7000");
+    const auto check = [](const StoreResult &result) {
+        const auto *entries = std::get_if<StoreEntries>(&result);
+        REQUIRE(entries != nullptr);
+        CHECK(entries->at == ObjectVersion(12));
+        REQUIRE(entries->entries.size() == 3);
+        CHECK(std::holds_alternative<NodeRecord>(entries->entries.front().value));
+        CHECK(std::holds_alternative<std::monostate>(entries->entries[1].value));
+        REQUIRE(std::holds_alternative<NodeRecord>(entries->entries.back().value));
+        CHECK(std::get<NodeRecord>(entries->entries.back().value).peer
+              == NetAddress { "10.1.0.3", 7000 });
+    };
+    check(reply(StoreList { StoreKind::Nodes }, 200,
+                R"({"items":[)" + items + R"(],"has_more":false,"at_rev":12})"));
+    const auto event = [](const std::string &object) {
+        return R"({"object":)" + object + R"(,"removed":false})";
+    };
+    check(reply(StoreFollow { StoreKind::Nodes }, 200,
+                R"({"events":[)" + event(record("n-1", "10.1.0.1:7000")) + "," + event(odd) + ","
+                    + event(record("n-3", "10.1.0.3:7000")) + R"(],"at_rev":12})"));
+}
+
+// Guards against numbers that wrap around or overflow on their way into the project's types.
+TEST_CASE_METHOD(PlatformFixture, "Platform_numberBeyondItsRange_entryIsUnreadable")
+{
+    const auto heartbeat = [](const char *slots, const char *warmUp) {
+        return std::string(
+                   R"({"address":"10.1.0.9:80","born":5,"server_info":{"service":"orders",)")
+            + R"("version":"v1","zone":"arima","slots":)" + slots
+            + R"(},"status":{"state":"ready","sequence":4,"warmup_left_ms":)" + warmUp + "}}";
+    };
+    REQUIRE(std::holds_alternative<BackendAnnouncement>(announced(heartbeat("6", "0"))));
+    CHECK(std::holds_alternative<Error>(announced(heartbeat("4294967297", "0"))));
+    CHECK(std::holds_alternative<Error>(announced(heartbeat("6", "18446744073709551615"))));
+    CHECK(std::holds_alternative<Error>(announced(heartbeat("6", "1e30"))));
+    const auto order = [](const char *ramp) {
+        return std::string(R"({"items":[{"metadata":{"name":"orders","revision":9},"spec":)")
+            + R"({"service":"orders","target_version":"v2","ramp_s":)" + ramp
+            + R"(}}],"has_more":false,"at_rev":12})";
+    };
+    const auto valueOf = [&](const char *ramp) {
+        return std::get<StoreEntries>(reply(StoreList { StoreKind::Rollouts }, 200, order(ramp)))
+            .entries.front()
+            .value;
+    };
+    CHECK(std::holds_alternative<RolloutOrder>(valueOf("12.5")));
+    CHECK(std::holds_alternative<std::monostate>(valueOf("1e300")));
+    CHECK(std::holds_alternative<std::monostate>(valueOf("-1e18")));
+}
+
 TEST_CASE_METHOD(PlatformFixture, "Platform_storeStatus_saysWhatMayHaveHappened")
 {
     using Reason = StoreRefusal::Reason;
