Refuse what comes late in a stop, and end the rest before the process does

What operators of a system like ours saw: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and at its end they were cut with no answer. Cause here: a request whose first bytes came before the connections were closed was passed on whenever it was complete, with the time of its route, whatever was left of the grace; at the end the sockets closed under what was still in flight. Change: a stop tells the router its schedule. What comes after the connections of guests are closed is refused as not run; what is in flight has its outcome 0.2 s before the end, at the latest. Links of other nodes close beside those of guests, so guests have 0.4 s more. Tests: Sidecar_requestFinishedLateInADrain_isRefusedNotCut runs two processes; before, the request was passed on and ended with 504. The cut without an answer was not reproduced: the stand-in's route ends sooner than the grace.

--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -133,19 +133,22 @@
     }
 
     /// Announces that the node leaves, finishes what is in flight, and closes the connections of
-    /// guests after \a serveOn at the latest when they are idle. Returns what was left at \a end.
+    /// guests after \a serveOn at the latest when they are idle. Requests that are read later are
+    /// refused, and those in flight have an outcome before \a end. Returns what was left then.
     [[nodiscard]] DrainRemainder drain(Duration serveOn, TimePoint end)
     {
         m_membership.ring().push(DrainStarted {});
         m_gate.ring().push(DrainStarted {});
+        m_router.ring().push(DrainSchedule { SteadyClock().now() + serveOn, end - answerTime });
         const auto guestsClosed = std::make_shared<Event>();
         m_guests.drain(serveOn, [guestsClosed] { guestsClosed->set(); });
         DrainRemainder left;
-        left.hasGuests = !guestsClosed->waitUntil(end - linkCloseTime);
-        left.hasWork = !m_gateDrained.waitUntil(end);
-        // Links close last: each waits for the answers to all requests on it.
+        left.hasWork = !m_gateDrained.waitUntil(end - linkCloseTime);
+        // Other nodes' links end once they have their answers. Those to other nodes stay, so a
+        // guest that never finishes its request holds up neither.
         const auto peersClosed = std::make_shared<Event>();
         m_peers.drain([peersClosed] { peersClosed->set(); });
+        left.hasGuests = !guestsClosed->waitUntil(end);
         left.hasLinks = !peersClosed->waitUntil(end);
         m_membership.ring().push(NodeLeaving {});
         return left;
@@ -173,9 +176,10 @@
     }
 
 private:
-    // A guest that never finishes its request must not use up the time in which other nodes get
-    // their answers and learn that their links end.
+    // Other nodes learn within this time that their links end.
     static constexpr Duration linkCloseTime = std::chrono::milliseconds(400);
+    // An outcome reaches its guest within this time, on a machine with a tenth of a core.
+    static constexpr Duration answerTime = std::chrono::milliseconds(200);
 
     // Each request in flight yields at most one answer and one end of a link.
     static std::size_t answerPlaces(const Sizes &sizes) { return 2 * sizes.maxInFlight; }
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -224,6 +224,13 @@
 struct DrainStarted
 { };
 
+/// A node that stops keeps to these times, so that no guest is left without an answer.
+struct DrainSchedule
+{
+    TimePoint lastRequest; ///< Requests that come from then on are refused.
+    TimePoint lastOutcome; ///< All others have their outcome by then.
+};
+
 /// The gate refuses new work and has nothing left to do. Follows the last answer.
 struct GateDrained
 { };
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -36,7 +36,7 @@
 {
 public:
     using Input = std::variant<GuestRequest, GuestGone, PeerReceived<ForwardAnswer>, LinkDown,
-                               SnapshotChanged, EndpointsChanged, MoveSharesChanged>;
+                               SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule>;
     using Output = std::variant<GuestAnswer, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
@@ -90,6 +90,8 @@
     void onAnswer(PeerReceived<ForwardAnswer> &&received, TimePoint now, Outbox<Output> &outbox);
     void onLinkDown(const LinkDown &down, TimePoint now, Outbox<Output> &outbox);
     void onSnapshot(SnapshotChanged &&changed, TimePoint now, Outbox<Output> &outbox);
+    void onDrain(const DrainSchedule &schedule);
+    [[nodiscard]] bool resolve(PendingRequest &pending);
 
     void place(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool tryPlace(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
@@ -132,6 +134,7 @@
     std::unordered_map<RequestId, PendingRequest> m_requests; // by guest id; at most m_maxInFlight
     std::unordered_map<RequestId, RequestId> m_forwards; // current forward id to guest id
     std::set<std::pair<TimePoint, RequestId>> m_deadlines; // one for each pending request
+    std::optional<DrainSchedule> m_drain; // set once the node stops; no deadline is later
     std::uint64_t m_nextForward = 1;
     Counts m_counts;
 };
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -54,6 +54,7 @@
                    },
                    [&](LinkDown &down) { onLinkDown(down, now, outbox); },
                    [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now, outbox); },
+                   [&](DrainSchedule &schedule) { onDrain(schedule); },
                    [&](EndpointsChanged &changed) {
                        m_retries.setNodes(nodesIn(*changed.table));
                        m_placement.update(std::move(changed.table), now);
@@ -76,13 +77,15 @@
         ++m_counts.notRun;
         outbox.emit(GuestAnswer { id, NotRun { reason } });
     };
+    if (m_drain && now >= m_drain->lastRequest)
+        return refuse(NotRunReason::Draining);
     if (request.depth.value() >= maxCallDepth)
         return refuse(NotRunReason::Malformed);
     PendingRequest pending { std::move(request), now };
     pending.placement.isFreshKey = pending.request.isFreshKey;
     if (!m_snapshot && !m_options.waitsForRoom)
         return refuse(NotRunReason::NoConfiguration);
-    if (!pending.resolve(m_snapshot, m_random))
+    if (!resolve(pending))
         return refuse(NotRunReason::NoRoute);
     if (m_requests.size() >= m_maxInFlight) {
         const auto worst = m_queue.worst();
@@ -118,7 +121,7 @@
         PendingRequest &pending = found->second;
         m_queue.erase(id);
         m_deadlines.erase({ pending.deadline, id });
-        const bool hasRoute = pending.resolve(m_snapshot, m_random);
+        const bool hasRoute = resolve(pending);
         m_deadlines.emplace(pending.deadline, id);
         if (!hasRoute)
             finish(id, NotRun { NotRunReason::NoRoute }, now, outbox);
@@ -130,6 +133,27 @@
     dispatchAll(now, outbox);
 }
 
+// As PendingRequest::resolve, with the deadline that a stop leaves.
+template <BalancingPolicy Policy>
+bool BasicRouter<Policy>::resolve(PendingRequest &pending)
+{
+    const bool hasRoute = pending.resolve(m_snapshot, m_random);
+    if (m_drain)
+        pending.deadline = std::min(pending.deadline, m_drain->lastOutcome);
+    return hasRoute;
+}
+
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::onDrain(const DrainSchedule &schedule)
+{
+    m_drain = schedule;
+    m_deadlines.clear();
+    for (auto &[id, pending] : m_requests) {
+        pending.deadline = std::min(pending.deadline, schedule.lastOutcome);
+        m_deadlines.emplace(pending.deadline, id);
+    }
+}
+
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::onGone(const GuestGone &gone, TimePoint now, Outbox<Output> &outbox)
 {
--- /dev/null
+++ b/tests/sidecardraintest.cpp
@@ -0,0 +1,98 @@
+// A planned stop of one of two real nodes.
+#include "sidecarprocess.h"
+#include "storestandin.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace camphorreach {
+namespace {
+
+using std::chrono::milliseconds;
+using tcp = boost::asio::ip::tcp;
+
+// Two nodes, of which only the second has a server. The first one is stopped.
+class SidecarDrainFixture
+{
+protected:
+    SidecarDrainFixture()
+        : server([](LoopbackServer &self, impl::ExchangeId id, impl::HttpRequest &&request) {
+              const bool isSlow = request.target == "/bags/slow";
+              self.respondLater(id, signedAnswer(request), isSlow ? serviceTime : milliseconds(1));
+          })
+    {
+        const std::vector<NetAddress> addresses = freeAddresses(9);
+        for (std::size_t i = 0; i < 2; ++i) {
+            SidecarSettings &one = settings[i];
+            one.instance = InstanceId("node-" + std::to_string(i + 1));
+            one.domain = FailureDomain("arima");
+            one.guestAddress = addresses[4 * i];
+            one.peerAddress = addresses[4 * i + 1];
+            one.readyAddress = addresses[4 * i + 2];
+            one.announceAddress = addresses[4 * i + 3];
+            one.backendServer = { i == 1 ? server.address() : addresses[8], ServiceName("orders") };
+            one.platform = store.address();
+            one.stopGrace = grace;
+        }
+        client.start();
+    }
+    ~SidecarDrainFixture() { client.stop(); }
+
+    // Until the first node sends requests to the server beside the second.
+    [[nodiscard]] bool waitUntilServing()
+    {
+        for (std::uint64_t i = 1; i < 500; ++i) {
+            (void)callOnce(client, settings[1].announceAddress,
+                           announcementOf("i-2", server.address(), i, "ready"));
+            const auto response
+                = callOnce(client, settings[0].guestAddress,
+                           requestOf("warm-" + std::to_string(i), "POST", "/bags/1", "bags"));
+            if (response.status == 200)
+                return true;
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return false;
+    }
+
+    static constexpr Duration grace = milliseconds(4000);
+    static constexpr Duration serviceTime = milliseconds(2000);
+    impl::IoThread client;
+    StoreStandin store;
+    LoopbackServer server;
+    std::array<SidecarSettings, 2> settings;
+};
+
+// Guards against a request that is taken and passed on so late in a stop that its answer comes
+// after the end of the grace: a run-once request that runs and is cut without an answer.
+TEST_CASE_METHOD(SidecarDrainFixture, "Sidecar_requestFinishedLateInADrain_isRefusedNotCut")
+{
+    SidecarProcess stopped(settings[0]);
+    SidecarProcess other(settings[1]);
+    REQUIRE(waitUntilServing());
+    boost::asio::io_context io;
+    tcp::socket guest(io);
+    guest.connect({ boost::asio::ip::make_address(settings[0].guestAddress.host),
+                    settings[0].guestAddress.port });
+    const std::string head = "POST /bags/slow HTTP/1.1\r\nHost: a.example\r\n"
+                             "X-Camphorreach-Attempt-Id: late\r\nContent-Length: 8\r\n\r\nbags";
+    boost::asio::write(guest, boost::asio::buffer(head));
+    std::this_thread::sleep_for(milliseconds(100));
+    stopped.send(SIGTERM);
+    REQUIRE(stopped.waitForLog("event=stop-asked"));
+    std::this_thread::sleep_for(milliseconds(3100));
+    boost::asio::write(guest, boost::asio::buffer(std::string("bags")));
+    std::string answer;
+    boost::system::error_code ended;
+    boost::asio::read(guest, boost::asio::dynamic_buffer(answer), ended);
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 503");
+    CHECK(answer.find("\r\n\r\n") != std::string::npos);
+    CHECK(stopped.exitCode() == 0);
+}
+
+} // namespace
+} // namespace camphorreach
