Let nodes that are stopping lead a roll-out last

Cause: the two nodes that judge a roll-out were the first by name, whether or not they were stopping: the same as counting on watchers that are gone. Change: members that are stopping or suspected come last in the rank. Test: Rollouts_leadersAreStopping_othersDecide failed before (node 0 wrote).

--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -179,7 +179,10 @@
     m_members.clear();
     for (const auto &[service, endpoints] : changed.table->services)
         m_members.insert(m_members.end(), endpoints.begin(), endpoints.end());
-    std::ranges::sort(m_members, {}, &Endpoint::instance);
+    // Those that are stopping lead only when nobody else is there.
+    std::ranges::sort(m_members, {}, [](const Endpoint &member) {
+        return std::pair(member.state != EndpointState::Ready, member.instance);
+    });
 }
 
 bool Rollouts::isLeading() const
--- a/tests/rolloutstest.cpp
+++ b/tests/rolloutstest.cpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
 namespace camphorreach {
 namespace {
@@ -24,17 +25,15 @@
 
     RolloutsFixture()
     {
-        auto table = std::make_shared<EndpointTable>();
         for (std::size_t i = 0; i < nodeCount; ++i) {
             Endpoint endpoint;
             endpoint.instance = InstanceId("node-" + std::to_string(i));
             endpoint.peer = { "127.0.0.1", static_cast<std::uint16_t>(i + 1) };
             endpoint.service = ServiceName("orders");
-            table->services[endpoint.service].push_back(endpoint);
+            endpoints.push_back(endpoint);
             nodes.push_back(std::make_unique<Rollouts>(endpoint, RolloutPolicy {}));
         }
-        for (std::size_t i = 0; i < nodeCount; ++i)
-            give(i, EndpointsChanged { table });
+        publishEndpoints();
         order.service = ServiceName("orders");
         order.target = BackendVersion("v2");
         order.ramp = ramp;
@@ -42,6 +41,14 @@
         publishOrder();
     }
 
+    void publishEndpoints()
+    {
+        auto table = std::make_shared<EndpointTable>();
+        table->services[ServiceName("orders")] = endpoints;
+        for (std::size_t i = 0; i < nodeCount; ++i)
+            give(i, EndpointsChanged { table });
+    }
+
     void publishOrder()
     {
         for (std::size_t i = 0; i < nodeCount; ++i) {
@@ -79,6 +86,7 @@
     void onCall(std::size_t from, const StoreCall &call)
     {
         const auto &judge = std::get<StoreJudge>(call.operation);
+        writers.insert(from);
         if (judge.order.version != order.version) {
             give(from, StoreReply { call.id, StoreRefusal { StoreRefusal::Reason::Conflict } });
             return;
@@ -128,6 +136,7 @@
     }
 
     RandomSource random { 1 };
+    std::vector<Endpoint> endpoints;
     std::vector<std::unique_ptr<Rollouts>> nodes;
     RolloutOrder order;
     std::optional<std::size_t> cutOff; // a node without peers and store
@@ -137,6 +146,7 @@
     std::size_t sent = 0;
     std::size_t sentToNew = 0;
     std::size_t badAnswers = 0;
+    std::set<std::size_t> writers; // nodes that called the store
 };
 
 constexpr auto good = [](RequestSample &, RandomSource &) {};
@@ -205,6 +215,16 @@
     CHECK(sentToNew < sent / 10);
 }
 
+// Guards against a verdict that waits for leading nodes which are stopping.
+TEST_CASE_METHOD(RolloutsFixture, "Rollouts_leadersAreStopping_othersDecide")
+{
+    endpoints[0].state = endpoints[1].state = EndpointState::Draining;
+    publishEndpoints();
+    run(ramp, failsHalf);
+    CHECK(order.state == RolloutState::RolledBack);
+    CHECK(writers == std::set<std::size_t> { 2 });
+}
+
 // Guards against a share that grows at a node which hears nothing.
 TEST_CASE_METHOD(RolloutsFixture, "Rollouts_nodeCutOff_keepsTheTrialShare")
 {
