--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <thread>
 #include <vector>
 
 namespace camphorreach {
@@ -119,6 +120,32 @@
     CHECK(countAnswers(readAll()) == read);
 }
 
+// Guards against a request that is dropped with its connection because the idle limit passes before
+// the bytes that have arrived are read.
+TEST_CASE_METHOD(HttpServerStepsFixture, "HttpServer_requestReadAsTheIdleLimitPasses_isAnswered")
+{
+    const int steps = GENERATE(range(0, 6));
+    HttpLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(30);
+    server.setLimits(limits);
+    sendRequest();
+    pollUntilRequests(1);
+    server.respond(requests[0], { 200, {}, "ok" });
+    for (int i = 0; i < 4; ++i)
+        io.poll_one(); // the response has been written, and the next read has begun
+    sendRequest();
+    std::this_thread::sleep_for(2 * limits.idleTimeout);
+    for (int i = 0; i < steps; ++i)
+        io.poll_one();
+    settle();
+    REQUIRE(requests.size() == 2);
+    server.respond(requests[1], { 200, {}, "ok" });
+    settle();
+    client.shutdown(tcp::socket::shutdown_send);
+    settle();
+    CHECK(countAnswers(readAll()) == 2);
+}
+
 // Guards against bodies that use up memory, and against a reset that hides the reason.
 TEST_CASE_METHOD(HttpServerFixture, "HttpServer_bodyAboveLimit_answers413AndTheClientSeesIt")
 {
