--- a/include/camphorreach/rollouts.h
+++ b/include/camphorreach/rollouts.h
@@ -38,8 +38,8 @@
 };
 
 /// Each node counts what it sees, brakes on its own evidence and follows the directives of the
-/// leading nodes: the two of highest rank among the members, those that are stopping last. Several may lead at a time, since
-/// verdicts only accumulate and every write of a status is conditional.
+/// leading nodes: the two of highest rank among the members, those that are stopping last. Several
+/// may lead at a time, since verdicts only accumulate and every write of a status is conditional.
 class Rollouts
 {
 public:
