--- a/tests/catalogworld.cpp
+++ b/tests/catalogworld.cpp
@@ -199,9 +199,9 @@
 
 void CatalogWorld::onCall(std::size_t index, const StoreCall &call)
 {
-    ++m_storeCalls;
     std::size_t configs = 0;
     if (const auto *follow = std::get_if<StoreFollow>(&call.operation)) {
+        ++m_followCalls;
         const std::uint64_t number = ++m_nextWatch;
         m_waiting.push_back({ index, call.id, *follow, number });
         m_events.after(follow->wait, [this, number] {
@@ -220,6 +220,7 @@
         reply(index, call.id, StoreWritten { ObjectVersion(5) }, 0);
         return;
     }
+    m_followCalls += list->kind != StoreKind::Nodes ? 1 : 0;
     StoreEntries entries;
     entries.at = m_history.back().object;
     if (list->kind == StoreKind::Configuration) {
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -45,7 +45,8 @@
     /// Bytes that came from the store and from other nodes since the start, over all nodes.
     [[nodiscard]] std::uint64_t storeBytes() const noexcept { return m_storeBytes; }
     [[nodiscard]] std::uint64_t peerBytes() const noexcept { return m_peerBytes; }
-    [[nodiscard]] std::uint64_t storeCalls() const noexcept { return m_storeCalls; }
+    /// Lists and watches of the configuration and of orders since the start, over all nodes.
+    [[nodiscard]] std::uint64_t followCalls() const noexcept { return m_followCalls; }
     /// Whether all nodes that run have exactly the routes of the newest version.
     [[nodiscard]] bool isSettled() const;
 
@@ -104,7 +105,7 @@
     std::uint64_t m_nextWatch = 0;
     std::uint64_t m_storeBytes = 0;
     std::uint64_t m_peerBytes = 0;
-    std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_followCalls = 0;
     Duration m_longestDelay {};
 };
 
--- a/tests/configdelaytest.cpp
+++ b/tests/configdelaytest.cpp
@@ -50,5 +50,38 @@
     CHECK(world.peerBytes() - before <= 26 * 4'096);
 }
 
+// Guards against news that waits for watchers which have ended.
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_watchersEnd_othersTakeOver")
+{
+    world.run(seconds(2));
+    world.kill({ 0, 1, 2 });
+    world.run(seconds(8));
+    world.publish();
+    world.run(applyTime);
+    CHECK(world.isSettled());
+}
+
+// Guards against nodes that go on hearing from each other while those that watch get no answers.
+// What is asked for is the bound of a disrupted store: 3 s until nodes are in touch again, and the
+// time in which a change is to be in force.
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_watchersHearNothingMore_othersTakeOver")
+{
+    world.run(seconds(2));
+    world.silenceStoreFor({ 0, 1, 2 });
+    world.publish();
+    world.run(seconds(3) + seconds(3) + applyTime);
+    CHECK(world.isSettled());
+}
+
+// Guards against calls to the store that grow with the number of nodes: two watches of 3 s at each
+// of three nodes, and a few more for each node whose copy gets old for a moment.
+TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_quietTime_onlyTheWatchersCall")
+{
+    world.run(seconds(10));
+    const std::uint64_t before = world.followCalls();
+    world.run(seconds(30));
+    CHECK(world.followCalls() - before <= 3 * 2 * 10 + 26);
+}
+
 } // namespace
 } // namespace camphorreach
