--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -1,5 +1,6 @@
 // Tests of the platform's names and formats: each message is decoded into the project's types.
 #include "../platform/announcements.h"
+#include "../platform/jsonlist.h"
 #include "../platform/requests.h"
 #include "../platform/store.h"
 
@@ -215,6 +216,23 @@
                     + event(record("n-3", "10.1.0.3:7000")) + R"(],"at_rev":12})"));
 }
 
+// Guards against a list that ends or begins somewhere else than it does.
+TEST_CASE_METHOD(PlatformFixture, "Platform_listIsSplit_bracketsInTextsAndFieldsDoNotCount")
+{
+    const std::string first = R"({"a":"],[{\"\\","b":[1,[2,3]]})";
+    const std::string answer = R"({"x":{"y":[1,2]},"it]ems": [ )" + first
+        + " , \"]\" ,7 ] ,\"z\":{\"y\":[1,{}]},\"n\":12}";
+    const platform::JsonList list = platform::splitList(answer);
+    CHECK(list.envelope == R"({"x":{"y":[1,2]},"it]ems": [] ,"z":{"y":[1,{}]},"n":12})");
+    REQUIRE(list.elements.size() == 3);
+    CHECK(list.elements[0].find(first) != std::string_view::npos);
+    CHECK(list.elements[1].find("\"]\"") != std::string_view::npos);
+    CHECK(list.elements[2] == "7 ");
+    CHECK(platform::splitList("").elements.empty());
+    CHECK(platform::splitList(R"({"items":[]})").elements.empty());
+    CHECK(platform::splitList(R"({"items":[{"a":"\)").elements.empty());
+}
+
 // Guards against numbers that wrap around or overflow on their way into the project's types.
 TEST_CASE_METHOD(PlatformFixture, "Platform_numberBeyondItsRange_entryIsUnreadable")
 {
