--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -34,6 +34,7 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(150);
 constexpr Duration longestBackoff = std::chrono::milliseconds(1200);
 constexpr std::uint32_t maxDoublings = 3;
+
 } // namespace
 
 Catalog::Catalog(Endpoint self, Options options, RandomSource &random)
