--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -74,8 +74,8 @@
         std::optional<StoreCallId> call {}; // under way
         std::optional<TimePoint> nextCall = TimePoint {}; // empty while others watch
         std::uint32_t failures = 0; // consecutive
-        bool isOvertaken = false; // other nodes have brought more than the store's history since
-        bool isBehind = false; // more than one change came at once, so only the newest is read
+        bool isOvertaken = false; // other nodes have brought changes since `at`
+        bool isBehind = false; // several versions came at once, so only the newest is read
         std::optional<TimePoint> confirmedAt {}; // the store held nothing newer
     };
 
--- a/tests/catalogworld.cpp
+++ b/tests/catalogworld.cpp
@@ -272,7 +272,6 @@
         return;
     }
     const std::size_t bytes = replyHeadBytes + configs * m_options.routes * routeBytesInStore;
-    m_storeBytes += bytes;
     const auto held = std::make_shared<StoreResult>(std::move(result));
     m_events.at(transfer(nullptr, m_nodes[index]->down, bytes), [this, index, call, held] {
         give(index, StoreReply { call, std::move(*held) });
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -42,8 +42,7 @@
     /// The longest time from the acceptance of a version to its being in force, or a later one,
     /// over the nodes that run; a version that is not in force yet counts as until now.
     [[nodiscard]] Duration longestDelay() const;
-    /// Bytes that came from the store and from other nodes since the start, over all nodes.
-    [[nodiscard]] std::uint64_t storeBytes() const noexcept { return m_storeBytes; }
+    /// Bytes that came from other nodes since the start, over all nodes.
     [[nodiscard]] std::uint64_t peerBytes() const noexcept { return m_peerBytes; }
     /// Lists and watches of the configuration and of orders since the start, over all nodes.
     [[nodiscard]] std::uint64_t followCalls() const noexcept { return m_followCalls; }
@@ -65,11 +64,17 @@
         Link up;
         Link down;
         std::shared_ptr<const Snapshot> inForce;
-        TimePoint inForceSince {};
         bool isRunning = true;
         std::uint64_t wakeUp = 0; // of the timer that counts; earlier ones do nothing
     };
 
+    struct Accepted
+    {
+        ObjectVersion object;
+        std::shared_ptr<const MeshConfig> config;
+        TimePoint at {};
+    };
+
     struct Waiting
     {
         std::size_t node = 0;
@@ -94,16 +99,9 @@
     scenario::EventQueue m_events;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::set<std::size_t> m_silenced;
-    struct Accepted
-    {
-        ObjectVersion object;
-        std::shared_ptr<const MeshConfig> config;
-        TimePoint at {};
-    };
     std::vector<Accepted> m_history; // object versions increase
     std::deque<Waiting> m_waiting; // watches
     std::uint64_t m_nextWatch = 0;
-    std::uint64_t m_storeBytes = 0;
     std::uint64_t m_peerBytes = 0;
     std::uint64_t m_followCalls = 0;
     Duration m_longestDelay {};
