--- a/tests/versionedconfigtest.cpp
+++ b/tests/versionedconfigtest.cpp
@@ -132,9 +132,10 @@
 TEST_CASE_METHOD(VersionedConfigFixture, "VersionedConfig_sizeBound_isNotBelowTheEncodedSize")
 {
     for (int count = 0; count < 20; ++count) {
-        std::vector<HostRoute> routes;
-        for (int i = 0; i < count; ++i)
-            routes.push_back(route(std::string(static_cast<std::size_t>(i), 'x')));
+        std::vector<HostRoute> routes(static_cast<std::size_t>(count));
+        std::size_t length = 0;
+        for (HostRoute &one : routes)
+            one = route(std::string(length++, 'x'));
         VersionedConfig sender = held(config(1, routes));
         const MeshConfig next = config(2, { route("last") });
         REQUIRE(sender.take(next) == Effect::Applied);
