--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -223,6 +223,26 @@
                     + "," + event(record("n-3", "10.1.0.3:7000")) + R"(],"at_rev":12})"));
 }
 
+// Guards against downloads that are lost with their first server, and against repeats of requests
+// of a kind that this version does not know.
+TEST_CASE_METHOD(PlatformFixture, "Platform_kindsOfRoutes_onlyKnownSafeOnesMayBeRepeated")
+{
+    const auto isIdempotent = [](const std::string &kind) {
+        std::string body = configBody;
+        const std::string known = "\"idempotent\"";
+        body.replace(body.find(known), known.size(), "\"" + kind + "\"");
+        const auto entries
+            = std::get<StoreEntries>(reply(StoreList { StoreKind::Configuration }, 200, body));
+        const auto config
+            = std::get<std::shared_ptr<const MeshConfig>>(entries.entries.at(0).value);
+        return config->routes.at(1).policy.isIdempotent;
+    };
+    CHECK(isIdempotent("idempotent"));
+    CHECK(isIdempotent("download"));
+    CHECK_FALSE(isIdempotent("non_idempotent"));
+    CHECK_FALSE(isIdempotent("upload"));
+}
+
 // Guards against brackets in strings or nested values that are taken for the start or end of the
 // list.
 TEST_CASE_METHOD(PlatformFixture, "Platform_listWithBracketsInStringsAndFields_isSplitIntoElements")
