Run requests that a client sends ahead at the same time

Cause: a connection read its next request only after the response to the one before it was written, and while bytes of a next request were in the buffer nobody noticed that the client left. Only the response to the last request that was read closes the connection.

--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -1,8 +1,9 @@
 // HTTP server sessions on Boost.Beast.
 #include <camphorreach/impl/httpserver.h>
 
+#include <camphorreach/responseorder.h>
+
 #include <algorithm>
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace camphorreach::impl {
 
@@ -23,9 +25,13 @@
 namespace {
 
 constexpr std::size_t firstReadBytes = 4096;
-// Capacity of the read buffer beyond a head. It limits what the parser does not: the size line of a
-// chunk with its extensions.
+constexpr std::size_t bodyReadBytes = 64 * 1024;
+// Bytes of one connection that are held beyond a head. They limit what the parser does not, the
+// size line of a chunk with its extensions, and what a client sends ahead.
 constexpr std::size_t readAheadBytes = 64 * 1024;
+// Requests under way and responses that wait for earlier ones, over all connections. Beyond this, a
+// connection has one request under way.
+constexpr std::uint64_t maxBytesUnderWay = 16 * 1024 * 1024;
 // Time limit for a body, from the end of its header.
 constexpr auto bodyTimeout = std::chrono::seconds(30);
 constexpr auto writeTimeout = std::chrono::seconds(30);
@@ -90,6 +96,7 @@
     std::map<ExchangeId, std::shared_ptr<Session>> m_pending; // requests without a response yet
     std::map<Session *, std::weak_ptr<Session>> m_sessions;
     std::size_t m_sessionCount = 0;
+    std::uint64_t m_bytesUnderWay = 0; // sum over the sessions
     ExchangeId m_nextExchange = 1;
     bool m_isAcceptPaused = false;
     bool m_isDraining = false; // every connection is closed after its next response
@@ -97,15 +104,19 @@
     std::function<void()> m_onClosed; // empty once it has been called
 };
 
+// One connection. It is read all the time, so that its end is noticed whatever the client has sent
+// ahead. Requests are reported as they arrive, and their responses are written in order. Only the
+// response to the last request that was read closes the connection; what follows it is not read.
 class HttpServer::Impl::Session : public std::enable_shared_from_this<Session>
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<Impl> server)
-        : m_stream(std::move(socket)), m_server(std::move(server))
+        : m_stream(std::move(socket)), m_server(std::move(server)), m_timer(m_stream.get_executor())
     { }
 
     ~Session()
     {
+        updateBytesUnderWay();
         --m_server->m_sessionCount;
         m_server->m_sessions.erase(this);
         if (m_server->m_isAcceptPaused && !m_server->m_isClosing) {
@@ -115,68 +126,35 @@
         m_server->reportIfClosed();
     }
 
-    // Waits for the first bytes until the idle timeout, then reads the request's header until the
-    // header timeout.
-    void read()
-    {
-        m_parser.emplace();
-        m_parser->body_limit(std::min<std::uint64_t>(m_server->m_limits.bodyBytes, maxBodyBytes));
-        m_parser->header_limit(m_server->m_limits.headerBytes);
-        m_buffer.max_size(m_server->m_limits.headerBytes + readAheadBytes);
-        if (m_buffer.size() > 0)
-            return readRequest();
-        m_stream.expires_after(m_server->m_limits.idleTimeout);
-        m_stream.async_read_some(
-            m_buffer.prepare(firstReadBytes),
-            [self = shared_from_this()](ErrorCodeType error, std::size_t size) {
-                if (error)
-                    return;
-                self->m_buffer.commit(size);
-                self->readRequest();
-            });
-    }
-
-    void readRequest()
+    void start()
     {
-        m_stream.expires_after(m_server->m_limits.headerTimeout);
-        http::async_read_header(m_stream, m_buffer, *m_parser,
-                                [self = shared_from_this()](ErrorCodeType error, std::size_t) {
-                                    if (error)
-                                        self->onRead(error);
-                                    else
-                                        self->readBody();
-                                });
+        updateTimer();
+        read();
     }
 
-    void readBody()
+    void respond(ExchangeId exchange, HttpResponse response)
     {
-        if (m_parser->is_done())
-            return onRead({});
-        m_stream.expires_after(bodyTimeout);
-        http::async_read(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](ErrorCodeType error, std::size_t) { self->onRead(error); });
+        const ByteCount size(response.body.size());
+        if (m_order.complete(exchange, std::move(response), size))
+            writeNext();
     }
 
-    void respond(HttpResponse response)
+    // Closes the connection and reports the requests under way as abandoned by the client.
+    void disconnect()
     {
-        m_exchange = 0;
-        m_response.emplace(static_cast<http::status>(response.status), 11);
-        for (HttpHeader &header : response.headers)
-            m_response->insert(header.name, header.value);
-        m_response->keep_alive(m_keepAlive && !m_server->m_isDraining);
-        m_response->body() = std::move(response.body);
-        m_response->prepare_payload();
-        m_stream.expires_after(writeTimeout);
-        http::async_write(m_stream, *m_response,
-                          [self = shared_from_this()](ErrorCodeType error, std::size_t) {
-                              self->onWritten(error);
-                          });
+        const auto self = shared_from_this();
+        close();
+        for (const ExchangeId exchange : m_order.takeUnanswered()) {
+            if (m_server->m_pending.erase(exchange) > 0 && m_server->m_handlers.onDisconnected)
+                m_server->m_handlers.onDisconnected(exchange);
+        }
+        updateBytesUnderWay();
     }
 
     void close()
     {
         ErrorCodeType ignored;
+        m_timer.cancel();
         m_stream.socket().close(ignored);
     }
 
@@ -184,37 +162,107 @@
     // their completion handler is queued and still runs, so the request is answered.
     void cancelRead() { m_stream.cancel(); }
 
-    [[nodiscard]] bool isIdle() const noexcept { return m_exchange == 0 && !m_response; }
-    [[nodiscard]] bool hasPartialRequest() const
-    {
-        return m_parser && (m_parser->is_header_done() || m_buffer.size() > 0);
-    }
+    [[nodiscard]] bool isIdle() const noexcept { return m_order.isEmpty() && !m_response; }
+    [[nodiscard]] bool hasPartialRequest() const { return m_parser || m_buffer.size() > 0; }
 
 private:
-    void onRead(ErrorCodeType error)
+    // What the connection waits for. Each phase has its own time limit, but Busy has none.
+    enum class Phase : std::uint8_t { None, Idle, Header, Body, Busy, Linger };
+
+    using ParserType = http::request_parser<http::string_body>;
+
+    void read()
     {
-        if (error == http::error::body_limit || error == http::error::header_limit) {
-            m_keepAlive = false;
-            const bool isBody = error == http::error::body_limit;
-            respond({ static_cast<std::uint16_t>(isBody ? 413 : 431),
-                      {},
-                      "the request is larger than the limit\n" });
+        const std::size_t room = maxBufferedBytes() - std::min(maxBufferedBytes(), m_buffer.size());
+        if (m_isReading || room == 0)
             return;
+        m_isReading = true;
+        const bool isBody = m_parser && m_parser->is_header_done();
+        m_received.resize(std::min(room, isBody ? bodyReadBytes : firstReadBytes));
+        if (!isBody)
+            m_received.shrink_to_fit();
+        m_stream.expires_never();
+        m_stream.async_read_some(
+            asio::buffer(m_received),
+            [self = shared_from_this()](ErrorCodeType error, std::size_t size) {
+                self->m_isReading = false;
+                if (error)
+                    self->onReadEnd();
+                else
+                    self->onRead(size);
+            });
+    }
+
+    void onRead(std::size_t size)
+    {
+        if (!m_isReadEnded) {
+            asio::buffer_copy(m_buffer.prepare(size), asio::buffer(m_received, size));
+            m_buffer.commit(size);
+            parse();
         }
-        if (error == beast::error::timeout) {
-            // The stream has closed its socket, so no response can be sent.
-            return;
+        read();
+    }
+
+    void onReadEnd()
+    {
+        if (m_order.isEmpty() && m_response && !m_isLingering) {
+            m_isReadEnded = true; // the last response is being written
+            m_hasClientClosed = true;
+        } else if (m_order.isEmpty()) {
+            close();
+        } else {
+            disconnect();
         }
-        if (error) {
-            if (error != http::error::end_of_stream && error != beast::error::timeout
-                && error.category() == http::make_error_code(http::error::bad_method).category()) {
-                m_keepAlive = false;
-                respond({ 400, {}, "malformed HTTP: " + error.message() + "\n" });
+    }
+
+    // Reports the complete requests in the buffer, as many as may be under way.
+    void parse()
+    {
+        while (mayParse()) {
+            if (!m_parser)
+                beginRequest();
+            ErrorCodeType error;
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            if (error == http::error::need_more) {
+                if (m_buffer.size() >= maxBufferedBytes())
+                    refuse(error);
+                break;
             }
-            return;
+            if (error)
+                refuse(error);
+            else if (m_parser->is_done())
+                onRequest();
         }
+        if (m_buffer.size() == 0 && m_buffer.capacity() > firstReadBytes)
+            m_buffer.shrink_to_fit();
+        updateTimer();
+    }
+
+    [[nodiscard]] bool mayParse() const
+    {
+        if (m_isReadEnded || m_buffer.size() == 0)
+            return false;
+        if (m_order.isEmpty())
+            return true;
+        return m_order.mayAdmit() && !m_server->m_isDraining
+            && m_server->m_bytesUnderWay < maxBytesUnderWay;
+    }
+
+    void beginRequest()
+    {
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->body_limit(std::min<std::uint64_t>(m_server->m_limits.bodyBytes, maxBodyBytes));
+        m_parser->header_limit(m_server->m_limits.headerBytes);
+    }
+
+    void onRequest()
+    {
         auto message = m_parser->release();
-        m_keepAlive = message.keep_alive();
+        m_parser.reset();
+        m_phase = Phase::None; // the next request has its own time limits
+        if (!message.keep_alive())
+            endReading();
         HttpRequest request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
@@ -222,77 +270,167 @@
             request.headers.push_back(
                 { std::string(field.name_string()), std::string(field.value()) });
         request.body = std::move(message.body());
-        m_parser.reset();
-        m_exchange = m_server->m_nextExchange++;
-        m_server->m_pending.emplace(m_exchange, shared_from_this());
-        m_stream.expires_never();
-        watchForDisconnect(m_exchange);
-        m_server->m_handlers.onRequest(m_exchange, std::move(request));
+        const ExchangeId exchange = m_server->m_nextExchange++;
+        m_order.admit(exchange, ByteCount(request.body.size()));
+        updateBytesUnderWay();
+        m_server->m_pending.emplace(exchange, shared_from_this());
+        m_server->m_handlers.onRequest(exchange, std::move(request));
     }
 
-    // A socket that is readable but has no data has been closed by the client.
-    void watchForDisconnect(ExchangeId exchange)
+    // Answers a request that cannot be read, after the responses to those before it.
+    void refuse(ErrorCodeType error)
     {
-        if (!m_server->m_handlers.onDisconnected || m_buffer.size() > 0)
-            return;
-        m_stream.socket().async_wait(
-            tcp::socket::wait_read, [self = shared_from_this(), exchange](ErrorCodeType error) {
-                if (error || self->m_exchange != exchange)
-                    return;
-                char byte = 0;
-                ErrorCodeType peekError;
-                self->m_stream.socket().receive(asio::buffer(&byte, 1),
-                                                asio::socket_base::message_peek, peekError);
-                if (peekError)
-                    self->handleDisconnect(exchange);
-            });
+        const bool isHeader = error == http::error::header_limit;
+        HttpResponse response { 400, {}, "malformed HTTP: " + error.message() + "\n" };
+        if (isHeader || error == http::error::body_limit)
+            response = { static_cast<std::uint16_t>(isHeader ? 431 : 413),
+                         {},
+                         "the request is larger than the limit\n" };
+        endReading();
+        const ExchangeId exchange = m_server->m_nextExchange++;
+        m_order.admit(exchange, ByteCount());
+        respond(exchange, std::move(response));
     }
 
-    void handleDisconnect(ExchangeId exchange)
+    // No further request is read, and the response to the last one closes the connection.
+    void endReading()
     {
-        m_exchange = 0;
-        close();
-        const auto server = m_server;
-        if (server->m_pending.erase(exchange) > 0)
-            server->m_handlers.onDisconnected(exchange);
+        m_isReadEnded = true;
+        m_parser.reset();
+        m_buffer.clear();
+    }
+
+    void writeNext()
+    {
+        if (m_response)
+            return;
+        std::optional<HttpResponse> next = m_order.takeNext();
+        updateBytesUnderWay();
+        if (!next)
+            return;
+        const bool isLast = m_order.isEmpty() && (m_isReadEnded || m_server->m_isDraining);
+        if (isLast)
+            endReading();
+        m_response.emplace(static_cast<http::status>(next->status), 11);
+        for (HttpHeader &header : next->headers)
+            m_response->insert(header.name, header.value);
+        m_response->keep_alive(!isLast);
+        m_response->body() = std::move(next->body);
+        m_response->prepare_payload();
+        m_stream.expires_after(writeTimeout);
+        http::async_write(m_stream, *m_response,
+                          [self = shared_from_this()](ErrorCodeType error, std::size_t) {
+                              self->onWritten(error);
+                          });
     }
 
     void onWritten(ErrorCodeType error)
     {
-        const bool keepAlive = m_response->keep_alive();
         m_response.reset();
-        if (error)
-            return;
+        if (error || m_hasClientClosed)
+            return disconnect();
+        writeNext();
+        parse();
         // A response that was sent before the drain may have announced keep-alive, so the
         // connection stays open until the grace period ends.
-        if (keepAlive && !m_server->m_isClosing) {
-            read();
-            return;
-        }
-        ErrorCodeType ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_stream.expires_after(lingerTimeout);
-        linger();
+        const bool isClosing = m_server->m_isClosing && !hasPartialRequest();
+        if (isIdle() && (m_isReadEnded || isClosing))
+            return linger();
+        read();
     }
 
     // Discards further data from the client until it closes its side or the timeout passes.
     void linger()
     {
-        m_stream.async_read_some(asio::buffer(m_discarded),
-                                 [self = shared_from_this()](ErrorCodeType error, std::size_t) {
-                                     if (!error)
-                                         self->linger();
-                                 });
+        ErrorCodeType ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        endReading();
+        m_isLingering = true;
+        updateTimer();
+        read();
+    }
+
+    [[nodiscard]] Phase currentPhase() const
+    {
+        if (m_isLingering)
+            return Phase::Linger;
+        if (m_parser)
+            return m_parser->is_header_done() ? Phase::Body : Phase::Header;
+        return isIdle() ? Phase::Idle : Phase::Busy;
+    }
+
+    [[nodiscard]] Duration timeLimit(Phase phase) const
+    {
+        switch (phase) {
+        case Phase::Idle:
+            return m_server->m_limits.idleTimeout;
+        case Phase::Header:
+            return m_server->m_limits.headerTimeout;
+        case Phase::Body:
+            return bodyTimeout;
+        case Phase::Linger:
+            return lingerTimeout;
+        case Phase::None:
+        case Phase::Busy:
+            break;
+        }
+        return Duration::max();
+    }
+
+    // Restarts the timer when the connection has entered another phase.
+    void updateTimer()
+    {
+        const Phase phase = currentPhase();
+        if (phase == std::exchange(m_phase, phase))
+            return;
+        if (phase == Phase::Busy) {
+            m_timer.cancel();
+            return;
+        }
+        m_timer.expires_after(timeLimit(phase));
+        m_timer.async_wait([weak = weak_from_this(), phase](ErrorCodeType error) {
+            const auto self = weak.lock();
+            if (!error && self && self->m_phase == phase)
+                self->onTimeout(phase);
+        });
+    }
+
+    void onTimeout(Phase phase)
+    {
+        ErrorCodeType error;
+        if (phase == Phase::Idle && m_stream.socket().available(error) > 0 && !error)
+            return; // a request has arrived and is about to be read
+        if (isIdle() || phase == Phase::Linger)
+            close();
+        else
+            endReading();
+    }
+
+    void updateBytesUnderWay()
+    {
+        const std::uint64_t bytes = m_order.bytes().value();
+        m_server->m_bytesUnderWay += bytes - std::exchange(m_countedBytes, bytes);
+    }
+
+    [[nodiscard]] std::size_t maxBufferedBytes() const
+    {
+        return m_server->m_limits.headerBytes + readAheadBytes;
     }
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer; // at most maxBufferedBytes()
+    std::vector<char> m_received; // of the pending read
     std::shared_ptr<Impl> m_server;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    asio::steady_timer m_timer; // of the phase
+    Phase m_phase = Phase::None; // the one for which the timer was started
+    std::optional<ParserType> m_parser; // while a request is being read
     std::optional<http::response<http::string_body>> m_response; // while it is being written
-    std::array<char, 4096> m_discarded {};
-    ExchangeId m_exchange = 0; // zero while no request is pending
-    bool m_keepAlive = true;
+    ResponseOrder<ExchangeId, HttpResponse> m_order;
+    std::uint64_t m_countedBytes = 0; // part of the server's m_bytesUnderWay
+    bool m_isReading = false;
+    bool m_isReadEnded = false; // what arrives now is discarded; never reset
+    bool m_hasClientClosed = false; // during the write of the last response
+    bool m_isLingering = false;
 };
 
 void HttpServer::Impl::open(tcp::socket socket)
@@ -302,7 +440,7 @@
     ++m_sessionCount;
     const auto session = std::make_shared<Session>(std::move(socket), shared_from_this());
     m_sessions.emplace(session.get(), session);
-    session->read();
+    session->start();
 }
 
 void HttpServer::Impl::respond(ExchangeId exchange, HttpResponse response)
@@ -312,7 +450,7 @@
         return;
     const auto session = found->second;
     m_pending.erase(found);
-    session->respond(std::move(response));
+    session->respond(exchange, std::move(response));
 }
 
 void HttpServer::Impl::abort(ExchangeId exchange)
@@ -322,7 +460,7 @@
         return;
     const auto session = found->second;
     m_pending.erase(found);
-    session->close();
+    session->disconnect();
 }
 
 void HttpServer::Impl::drain(Duration grace, std::function<void()> onClosed)
