Give the machine's outgoing bandwidth an owner

Change: EgressBudget refuses requests with long responses before they run when the response would wait more than 300 ms; EgressPacer and LongFrameScheduler write long messages in pieces, control first, after short ones and no faster than the bandwidth of the settings; a cancelled response that was not started is dropped. The framing has flags for pieces (protocol version 5).

--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -3,6 +3,7 @@
 
 #include <camphorreach/crashcontainment.h>
 #include <camphorreach/decision.h>
+#include <camphorreach/egressbudget.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/fairshare.h>
 #include <camphorreach/filter.h>
@@ -30,9 +31,10 @@
 class Gate
 {
 public:
-    using Input = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult,
-                               BackendReachable, BackendLeaving, PeerReceived<QuarantineMessage>,
-                               EndpointsChanged, DrainStarted, BackendAnnounced>;
+    using Input
+        = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult, BackendReachable,
+                       BackendLeaving, PeerReceived<QuarantineMessage>, EndpointsChanged,
+                       DrainStarted, BackendAnnounced, EgressBacklogChanged>;
     using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained,
                                 GateDecision>;
 
@@ -42,6 +44,8 @@
         std::uint64_t dispatched = 0;
         std::uint64_t refused = 0;
         std::uint64_t shed = 0; ///< Refused because the queue was full.
+        std::uint64_t egressRefused
+            = 0; ///< Refused because the bandwidth of the machine was taken.
         std::uint64_t lateResults = 0; ///< Results of calls that no caller waits for; dropped.
         std::uint64_t keyHits = 0; ///< Retries that were answered without a second run.
         std::uint64_t crashes = 0;
@@ -61,6 +65,7 @@
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
+        EgressBudget::Limits egress {};
     };
 
     /// \a service and \a self are the service and the address of this node. \a random must outlive
@@ -109,6 +114,7 @@
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
     void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
+    [[nodiscard]] Duration egressWait(const GateWork &work, Duration wait, TimePoint now) const;
     [[nodiscard]] Duration minTimeLeft(const RouteName &route) const;
     [[nodiscard]] bool missesTarget(const GateWork &work, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
@@ -155,6 +161,7 @@
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
+    EgressBudget m_egress;
     FairShare m_shares;
     std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots when a call starts; only one while m_isolatedCall is set
--- a/include/camphorreach/gatequeue.h
+++ b/include/camphorreach/gatequeue.h
@@ -24,6 +24,7 @@
     TimePoint answerDeadline {}; ///< Latest time for the response.
     TimePoint target {}; ///< A response by then meets the route's target latency.
     FairTag tag; ///< Start tag, where routes share the slots by weight.
+    Duration egress {}; ///< Bandwidth reserved for the response, as time to send it.
 };
 
 /// Estimated memory of a queued request in bytes: structure, content and key, but no header fields.
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -48,6 +48,8 @@
 
 /// The functions of a mesh node that do not depend on the platform's dialect.
 [[nodiscard]] Endpoint selfEndpoint(const SidecarSettings &settings);
+/// The part of the outgoing bandwidth that messages may use.
+[[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
 /// Formats the event as a log line.
@@ -133,7 +135,7 @@
       m_catalogRandom(seededRandom(settings, 3)), m_gateRandom(seededRandom(settings, 4)),
       m_path(settings, settings.backendServer.address,
              { requestCapacity, maxInFlight, controlCapacity, controlReserve, maxClientConnections,
-               maxBackendConnections, warmConnections },
+               maxBackendConnections, warmConnections, usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
           std::make_unique<Catalog>(selfEndpoint(settings),
--- a/include/camphorreach/impl/peerendpoint.h
+++ b/include/camphorreach/impl/peerendpoint.h
@@ -1,6 +1,7 @@
 // Peer endpoint: messages between nodes over TCP and UDP, connected to the filters by rings.
 #pragma once
 
+#include <camphorreach/egress.h>
 #include <camphorreach/impl/iothread.h>
 #include <camphorreach/metrics.h>
 #include <camphorreach/peermessage.h>
@@ -11,12 +12,12 @@
 
 namespace camphorreach::impl {
 
-using PeerCommand = std::variant<PeerSend, ForwardReply>;
-using PeerEvent
-    = std::variant<PeerReceived<ForwardResponse>, LinkDown, ForwardReceived, CancelReceived,
-                   LinkClosed, PeerReceived<MembershipMessage>, PeerReceived<ConfigMessage>,
-                   PeerReceived<MoveMessage>, PeerReceived<QuarantineMessage>,
-                   PeerReceived<CatalogMessage>, PeerReceived<RolloutMessage>>;
+using PeerCommand = std::variant<PeerSend, ForwardReply, EgressUsed>;
+using PeerEvent = std::variant<PeerReceived<ForwardResponse>, LinkDown, ForwardReceived,
+                               CancelReceived, LinkClosed, PeerReceived<MembershipMessage>,
+                               PeerReceived<ConfigMessage>, PeerReceived<MoveMessage>,
+                               PeerReceived<QuarantineMessage>, PeerReceived<CatalogMessage>,
+                               PeerReceived<RolloutMessage>, EgressBacklogChanged>;
 
 class PeerEndpoint
 {
@@ -25,7 +26,9 @@
     using Sink = std::function<bool(PeerEvent &&)>;
 
     /// Binds TCP and UDP to the same address. Throws boost::system::system_error when that fails.
-    PeerEndpoint(const NetAddress &address, Sink sink, MetricsRegistry &metrics);
+    /// Long messages are written at \a egressRate at most.
+    PeerEndpoint(const NetAddress &address, Sink sink, MetricsRegistry &metrics,
+                 ByteRate egressRate = {});
     ~PeerEndpoint();
 
     [[nodiscard]] Ring<PeerCommand> &ring() noexcept;
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -64,6 +64,7 @@
         std::size_t clientConnections = 0;
         std::size_t backendConnections = 0;
         std::size_t warmConnections = 0;
+        ByteRate egressRate {}; ///< Of the machine, as far as messages may use it.
     };
 
     struct Filters
@@ -108,7 +109,8 @@
               [this](ClientEvent &&event) { return onClientEvent(std::move(event)); }, metrics),
           m_peers(
               settings.peerAddress,
-              [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); }, metrics),
+              [this](PeerEvent &&event) { return onPeerEvent(std::move(event)); }, metrics,
+              sizes.egressRate),
           m_backend(
               backendServer, sizes.backendConnections, sizes.warmConnections,
               [this](BackendEvent &&event) { onBackendEvent(std::move(event)); }, metrics)
@@ -220,6 +222,7 @@
                 [this](PeerReceived<QuarantineMessage> &message) {
                     return m_gate.ring().tryPush(std::move(message));
                 },
+                [this](EgressBacklogChanged &changed) { return m_gate.ring().tryPush(changed); },
                 [this](auto &message) { return m_hooks.onControl(std::move(message)); },
             },
             event);
@@ -244,7 +247,13 @@
     void onRouterOutput(typename R::Output &&output)
     {
         std::visit(Overloaded {
-                       [this](ClientResponse &answer) { m_clients.ring().push(std::move(answer)); },
+                       [this](ClientResponse &answer) {
+                           const auto *answered = std::get_if<Answered>(&answer.outcome);
+                           if (answered != nullptr
+                               && answered->body.size() >= longMessageSize.value())
+                               m_peers.ring().push(EgressUsed { ByteCount(answered->body.size()) });
+                           m_clients.ring().push(std::move(answer));
+                       },
                        [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
                        [this](RouterDecision &decision) {
                            m_routerLog.write(decision, SteadyClock().now());
--- a/include/camphorreach/outcome.h
+++ b/include/camphorreach/outcome.h
@@ -33,6 +33,7 @@
     Malformed,
     BackendRefused, ///< The backend server rejected the request without running it.
     KeyReused, ///< The idempotency key was used for a request with other content.
+    EgressFull, ///< The long response would wait too long for the bandwidth of the machine.
 };
 
 /// No backend server can have started the request.
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -32,6 +32,7 @@
     Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
     std::uint32_t memoryMb = 256; ///< Bounds the size of buffers.
+    double linkMbps = 0; ///< Bandwidth of the machine in Mbit/s; zero when not known.
 };
 
 /// Parses and validates settings. \a file is the file name in findings. Fails with all findings.
--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -1,6 +1,7 @@
 // TCP links and UDP datagrams between nodes.
 #include <camphorreach/impl/peerendpoint.h>
 
+#include <camphorreach/impl/framechannel.h>
 #include <camphorreach/impl/sockets.h>
 #include <camphorreach/impl/wire.h>
 #include <camphorreach/result.h>
@@ -9,12 +10,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <cstring>
-#include <deque>
-#include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -36,19 +32,12 @@
 constexpr std::size_t maxIncomingLinks = 4096;
 constexpr std::size_t datagramBufferBytes = 65536;
 
-// A frame to be written. `request` is zero unless the frame carries a ForwardRequest.
-struct QueuedFrame
-{
-    std::string bytes;
-    RequestId request;
-};
-
 } // namespace
 
 class PeerEndpoint::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(const NetAddress &address, Sink sink, MetricsRegistry &metrics)
+    Impl(const NetAddress &address, Sink sink, MetricsRegistry &metrics, ByteRate egressRate)
         : m_address(address), m_sink(std::move(sink)),
           m_malformed(metrics.counter("peer.malformed")),
           m_dropped(metrics.counter("peer.dropped_ring_full")),
@@ -56,10 +45,14 @@
           m_datagramBytes(metrics.counter("peer.datagram_bytes_sent")),
           m_streamBytes(metrics.counter("peer.stream_bytes_sent")), m_acceptor(m_thread.io()),
           m_datagrams(m_thread.io()),
+          m_longFrames(m_thread.io(), egressRate,
+                       [this](EgressBacklogChanged changed) { deliver(changed); }),
           m_input(m_thread.io(), ringCapacity, [this](PeerCommand &&command) {
-              std::visit(Overloaded { [this](PeerSend &send) { onSend(std::move(send)); },
-                                      [this](ForwardReply &reply) { onReply(reply); } },
-                         command);
+              std::visit(
+                  Overloaded { [this](PeerSend &send) { onSend(std::move(send)); },
+                               [this](ForwardReply &reply) { onReply(reply); },
+                               [this](EgressUsed &used) { m_longFrames.onWritten(used.bytes); } },
+                  command);
           })
     {
         const auto host = asio::ip::make_address(address.host);
@@ -134,6 +127,7 @@
     udp::socket m_datagrams;
     std::array<char, datagramBufferBytes> m_datagramBuffer {};
     udp::endpoint m_datagramSender;
+    LongFrameScheduler m_longFrames; // destroyed after the links
     std::unordered_map<NetAddress, std::shared_ptr<OutgoingLink>> m_outgoing;
     std::unordered_map<LinkId, std::shared_ptr<IncomingLink>>
         m_incoming; // at most maxIncomingLinks
@@ -143,134 +137,14 @@
     InputRing<PeerCommand> m_input;
 };
 
-// Reads frames from a socket, and writes queued frames in order.
-class FrameChannel
-{
-public:
-    using OnFrame = std::function<bool(std::string_view)>;
-    using OnEnd = std::function<void()>;
-
-    explicit FrameChannel(tcp::socket socket, Counter &bytesSent)
-        : m_socket(std::move(socket)), m_bytesSent(bytesSent)
-    { }
-
-    [[nodiscard]] tcp::socket &socket() noexcept { return m_socket; }
-    [[nodiscard]] std::size_t queuedBytes() const noexcept { return m_queuedBytes; }
-    [[nodiscard]] const std::deque<QueuedFrame> &queue() const noexcept { return m_queue; }
-
-    void enqueue(QueuedFrame frame)
-    {
-        m_queuedBytes += frame.bytes.size();
-        m_queue.push_back(std::move(frame));
-    }
-
-    // Removes the frame of a request from the queue. Returns false when it is not queued.
-    bool removeQueued(RequestId request)
-    {
-        const auto matches = [&](const QueuedFrame &frame) { return frame.request == request; };
-        const auto found = std::find_if(m_queue.begin(), m_queue.end(), matches);
-        if (found == m_queue.end())
-            return false;
-        m_queuedBytes -= found->bytes.size();
-        m_queue.erase(found);
-        return true;
-    }
-
-    // Writes all queued frames as one buffer. `owner` keeps the channel alive. `onStarted` is
-    // called for every request before its bytes are written.
-    template <typename Owner>
-    void write(std::shared_ptr<Owner> owner, const std::function<void(RequestId)> &onStarted,
-               OnEnd onEnd)
-    {
-        if (m_isWriting)
-            return;
-        if (m_queue.empty()) {
-            if (m_onFlushed) {
-                ErrorCodeType ignored;
-                m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-                std::exchange(m_onFlushed, {})();
-            }
-            return;
-        }
-        m_isWriting = true;
-        m_writeBuffer.clear();
-        for (QueuedFrame &frame : m_queue) {
-            m_writeBuffer += frame.bytes;
-            if (onStarted && frame.request != RequestId())
-                onStarted(frame.request);
-        }
-        m_queue.clear();
-        m_queuedBytes = 0;
-        asio::async_write(m_socket, asio::buffer(m_writeBuffer),
-                          [this, owner, onStarted, onEnd](ErrorCodeType error, std::size_t size) {
-                              m_isWriting = false;
-                              m_bytesSent.add(size);
-                              if (error)
-                                  onEnd();
-                              else
-                                  write(owner, onStarted, onEnd);
-                          });
-    }
-
-    // Makes write() shut down the sending side once the queue is written, and then call
-    // `onFlushed`.
-    void shutdownAfterWrites(std::function<void()> onFlushed)
-    {
-        m_onFlushed = std::move(onFlushed);
-    }
-
-    template <typename Owner>
-    void read(std::shared_ptr<Owner> owner, OnFrame onFrame, OnEnd onEnd)
-    {
-        asio::async_read(m_socket, asio::buffer(m_header),
-                         [this, owner, onFrame, onEnd](ErrorCodeType error, std::size_t) {
-                             const auto length = payloadLength(
-                                 std::string_view(m_header.data(), m_header.size()));
-                             if (error || !isOk(length))
-                                 onEnd();
-                             else
-                                 readPayload(owner, valueOf(length), onFrame, onEnd);
-                         });
-    }
-
-    void close()
-    {
-        ErrorCodeType ignored;
-        m_socket.close(ignored);
-    }
-
-private:
-    template <typename Owner>
-    void readPayload(std::shared_ptr<Owner> owner, std::size_t length, OnFrame onFrame, OnEnd onEnd)
-    {
-        m_payload.resize(length);
-        asio::async_read(m_socket, asio::buffer(m_payload),
-                         [this, owner, onFrame, onEnd](ErrorCodeType error, std::size_t) {
-                             if (error || !onFrame(m_payload))
-                                 onEnd();
-                             else
-                                 read(owner, onFrame, onEnd);
-                         });
-    }
-
-    tcp::socket m_socket;
-    Counter &m_bytesSent;
-    std::deque<QueuedFrame> m_queue; // frames of which no byte has been written
-    std::size_t m_queuedBytes = 0; // sum over m_queue
-    std::string m_writeBuffer;
-    bool m_isWriting = false;
-    std::function<void()> m_onFlushed; // set while the sending side is to be shut down
-    std::array<char, frameHeaderBytes> m_header {};
-    std::string m_payload;
-};
-
 // A connection that this node opened. Carries its requests and the answers to them.
 class PeerEndpoint::Impl::OutgoingLink : public std::enable_shared_from_this<OutgoingLink>
 {
 public:
     OutgoingLink(std::shared_ptr<Impl> endpoint, NetAddress peer)
         : m_endpoint(std::move(endpoint)), m_peer(std::move(peer)),
-          m_channel(tcp::socket(m_endpoint->m_thread.io()), m_endpoint->m_streamBytes),
+          m_channel(tcp::socket(m_endpoint->m_thread.io()), m_endpoint->m_longFrames,
+                    m_endpoint->m_streamBytes),
           m_timer(m_endpoint->m_thread.io())
     { }
 
@@ -299,25 +173,31 @@
     void send(PeerMessage &&message)
     {
         RequestId request;
+        RequestId cancelled;
+        FrameClass frameClass = FrameClass::Control;
         if (const auto *requestMessage = std::get_if<RequestMessage>(&message)) {
+            frameClass = FrameClass::Request;
             if (const auto *forward = std::get_if<ForwardRequest>(requestMessage))
                 request = forward->id;
-            const auto *cancel = std::get_if<ForwardCancel>(requestMessage);
-            if (cancel != nullptr && m_channel.removeQueued(cancel->id))
+            if (const auto *cancel = std::get_if<ForwardCancel>(requestMessage))
+                cancelled = cancel->id;
+        }
+        if (cancelled != RequestId()) {
+            if (m_channel.removeQueued(cancelled))
                 return;
-            if (cancel != nullptr)
-                m_unanswered.erase(cancel->id);
+            m_unanswered.erase(cancelled);
         }
-        std::string bytes = encodeFrame(m_endpoint->encode(std::move(message)));
-        if (m_channel.queuedBytes() + bytes.size() > maxQueuedBytes) {
+        std::string payload = m_endpoint->encode(std::move(message));
+        if (m_channel.queuedBytes() + payload.size() > maxQueuedBytes) {
             m_endpoint->m_unsendable.add();
             if (request != RequestId())
                 m_endpoint->deliver(LinkDown { m_peer, { request }, {} });
             return;
         }
-        m_channel.enqueue({ std::move(bytes), request });
-        if (m_isConnected)
-            write();
+        if (cancelled != RequestId())
+            m_channel.enqueueBehind(std::move(payload), cancelled);
+        else
+            m_channel.enqueue(std::move(payload), frameClass, request);
     }
 
     // Closes the link and reports its unsent and unanswered requests. Has an effect only once.
@@ -328,11 +208,9 @@
         m_isEnded = true;
         m_timer.cancel();
         m_channel.close();
-        LinkDown down { m_peer, {}, { m_unanswered.begin(), m_unanswered.end() } };
-        for (const QueuedFrame &queued : m_channel.queue()) {
-            if (queued.request != RequestId())
-                down.unsent.push_back(queued.request);
-        }
+        LinkDown down { m_peer,
+                        m_channel.unsentRequests(),
+                        { m_unanswered.begin(), m_unanswered.end() } };
         const auto found = m_endpoint->m_outgoing.find(m_peer);
         if (found != m_endpoint->m_outgoing.end() && found->second.get() == this)
             m_endpoint->m_outgoing.erase(found);
@@ -348,17 +226,10 @@
         m_isConnected = true;
         m_timer.cancel();
         setTcpOptions(m_channel.socket());
-        m_channel.read(
-            shared_from_this(), [this](std::string_view payload) { return onFrame(payload); },
-            [this] { end(); });
-        write();
-    }
-
-    void write()
-    {
-        m_channel.write(
-            shared_from_this(), [this](RequestId request) { m_unanswered.insert(request); },
-            [this] { end(); });
+        m_channel.start(weak_from_this(),
+                        { [this](std::string_view payload) { return onFrame(payload); },
+                          [this] { end(); }, [this] { end(); },
+                          [this](RequestId request) { m_unanswered.insert(request); } });
     }
 
     bool onFrame(std::string_view payload)
@@ -389,7 +260,6 @@
             m_endpoint->m_outgoing.erase(found);
         m_endpoint->m_draining.insert(shared_from_this());
         m_channel.shutdownAfterWrites([] {});
-        write();
     }
 
     std::shared_ptr<Impl> m_endpoint;
@@ -407,37 +277,36 @@
 public:
     IncomingLink(std::shared_ptr<Impl> endpoint, LinkId id, tcp::socket socket)
         : m_endpoint(std::move(endpoint)), m_id(id),
-          m_channel(std::move(socket), m_endpoint->m_streamBytes)
+          m_channel(std::move(socket), m_endpoint->m_longFrames, m_endpoint->m_streamBytes)
     { }
 
     void start()
     {
-        m_channel.read(
-            shared_from_this(), [this](std::string_view payload) { return onFrame(payload); },
-            [this] { onReadEnd(); });
+        m_channel.start(weak_from_this(),
+                        { [this](std::string_view payload) { return onFrame(payload); },
+                          [this] { onReadEnd(); }, [this] { end(); } });
     }
 
     void beginClosing()
     {
         m_isClosing = true;
-        send(m_endpoint->encode(LinkMessage(LinkClosing {})));
+        send(m_endpoint->encode(LinkMessage(LinkClosing {})), FrameClass::Control);
     }
 
     void answer(const ForwardResponse &answer)
     {
         m_unanswered.erase(answer.id);
-        send(m_endpoint->encode(RequestMessage(answer)));
+        send(m_endpoint->encode(RequestMessage(answer)), FrameClass::Request, answer.id);
         endIfAnswered();
     }
 
-    void send(const std::string &payload)
+    void send(std::string payload, FrameClass frameClass, RequestId request = {})
     {
         if (m_channel.queuedBytes() + payload.size() > maxQueuedBytes) {
             end(); // the peer does not read; the end of the link notifies it
             return;
         }
-        m_channel.enqueue({ encodeFrame(payload), RequestId() });
-        m_channel.write(shared_from_this(), {}, [this] { end(); });
+        m_channel.enqueue(std::move(payload), frameClass, request);
     }
 
     void end()
@@ -461,12 +330,19 @@
             if (const auto *request = std::get_if<ForwardRequest>(message))
                 m_unanswered.insert(request->id);
             else if (const auto *cancel = std::get_if<ForwardCancel>(message))
-                m_unanswered.erase(cancel->id);
+                onCancel(cancel->id);
         }
         m_endpoint->onIncoming(m_id, std::move(*envelope));
         return true;
     }
 
+    // Drops a response that nobody waits for, if it has not been started.
+    void onCancel(RequestId request)
+    {
+        m_unanswered.erase(request);
+        (void)m_channel.removeQueued(request);
+    }
+
     // While the link is being closed, the peer shuts down its sending side first, and still waits
     // for answers.
     void onReadEnd()
@@ -483,7 +359,6 @@
         if (!m_isClosing || !m_hasReadEnded || !m_unanswered.empty() || m_isEnded)
             return;
         m_channel.shutdownAfterWrites([this] { end(); });
-        m_channel.write(shared_from_this(), {}, [this] { end(); });
     }
 
     std::shared_ptr<Impl> m_endpoint;
@@ -665,8 +540,9 @@
         m_dropped.add();
 }
 
-PeerEndpoint::PeerEndpoint(const NetAddress &address, Sink sink, MetricsRegistry &metrics)
-    : m_impl(std::make_shared<Impl>(address, std::move(sink), metrics))
+PeerEndpoint::PeerEndpoint(const NetAddress &address, Sink sink, MetricsRegistry &metrics,
+                           ByteRate egressRate)
+    : m_impl(std::make_shared<Impl>(address, std::move(sink), metrics, egressRate))
 { }
 
 PeerEndpoint::~PeerEndpoint()
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -227,27 +227,60 @@
     }
 }
 
-std::string encodeFrame(std::string_view payload)
+namespace {
+
+constexpr std::uint32_t pieceFlag = 1U << 31U;
+constexpr std::uint32_t lastPieceFlag = 1U << 30U;
+constexpr std::uint32_t requestClassFlag = 1U << 29U;
+constexpr std::uint32_t lengthMask = (1U << 24U) - 1;
+constexpr std::uint32_t allFlags = pieceFlag | lastPieceFlag | requestClassFlag;
+
+static_assert(maxFrameBytes <= lengthMask);
+
+std::string withHeader(std::string_view payload, std::uint32_t flags)
 {
-    const auto length = static_cast<std::uint32_t>(payload.size());
+    const std::uint32_t word = static_cast<std::uint32_t>(payload.size()) | flags;
     std::string result;
     result.reserve(frameHeaderBytes + payload.size());
     for (int shift = 24; shift >= 0; shift -= 8)
-        result.push_back(static_cast<char>((length >> shift) & 0xff));
+        result.push_back(static_cast<char>((word >> shift) & 0xff));
     result.append(payload);
     return result;
 }
 
-Result<std::size_t> payloadLength(std::string_view header)
+} // namespace
+
+std::string encodeFrame(std::string_view payload)
+{
+    return withHeader(payload, 0);
+}
+
+std::string encodePiece(std::string_view part, FrameClass frameClass, bool isLast)
+{
+    return withHeader(part,
+                      pieceFlag | (isLast ? lastPieceFlag : 0)
+                          | (frameClass == FrameClass::Request ? requestClassFlag : 0));
+}
+
+Result<FrameHeader> decodeFrameHeader(std::string_view header)
 {
     if (header.size() != frameHeaderBytes)
         return Error { ErrorCode::Malformed, "the frame header is truncated" };
-    std::size_t length = 0;
+    std::uint32_t word = 0;
     for (const char byte : header)
-        length = (length << 8) | static_cast<std::uint8_t>(byte);
-    if (length == 0 || length > maxFrameBytes)
+        word = (word << 8U) | static_cast<std::uint8_t>(byte);
+    const std::uint32_t flags = word & ~lengthMask;
+    if ((flags & ~allFlags) != 0 || (flags != 0 && (flags & pieceFlag) == 0))
+        return Error { ErrorCode::Malformed, "the frame has unknown flags" };
+    FrameHeader result;
+    result.length = word & lengthMask;
+    result.isPiece = (flags & pieceFlag) != 0;
+    result.isLastPiece = (flags & lastPieceFlag) != 0;
+    if ((flags & requestClassFlag) != 0)
+        result.frameClass = FrameClass::Request;
+    if (result.length == 0 || result.length > maxFrameBytes)
         return Error { ErrorCode::Malformed, "the frame length is out of range" };
-    return length;
+    return result;
 }
 
 } // namespace impl
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -68,7 +68,7 @@
       m_isAccepting(!limits.needsAnnouncement),
       m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
       m_lateQueue(limits.queue), m_suspectQueue(suspectQueueLimits(limits.queue)),
-      m_results(limits.results), m_containment(limits.crashes)
+      m_results(limits.results), m_containment(limits.crashes), m_egress(limits.egress)
 { }
 
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -87,6 +87,7 @@
             [&](EndpointsChanged &changed) { m_spread.setPeers(changed); },
             [&](BackendAnnounced &announced) { onAnnounced(std::move(announced), now, outbox); },
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
+            [&](EgressBacklogChanged &changed) { m_egress.onBacklog(changed, now); },
             [&](DrainStarted &) { m_isDraining = true; },
         },
         input);
@@ -134,6 +135,7 @@
     }
     if (const auto notRun = refusal(work, now))
         return refuse(work, *notRun, now, outbox);
+    work.egress = m_egress.reserve(work.request.route);
     enqueue(std::move(work), now, outbox);
 }
 
@@ -150,14 +152,29 @@
     if (!canFinish(work, now))
         return NotRun { NotRunReason::DeadlinePassed };
     const Duration wait = expectedWait(work);
-    if (work.answerDeadline - now < wait + m_serviceTimes.mean(request.route))
-        return NotRun { NotRunReason::Overloaded, wait };
+    const Duration sendWait = egressWait(work, wait, now);
+    if (m_egress.isTooLong(sendWait)) {
+        ++m_counts.egressRefused;
+        return NotRun { NotRunReason::EgressFull, sendWait };
+    }
+    const Duration transfer = m_egress.transferTimeOf(request.route);
+    if (work.answerDeadline - now < wait + m_serviceTimes.mean(request.route) + sendWait + transfer)
+        return NotRun { NotRunReason::Overloaded, wait + sendWait };
     // A late response is better than a refusal, as long as late requests do not delay the others.
     if (missesTarget(work, now) && m_lateQueue.size() >= m_slots)
         return NotRun { NotRunReason::Overloaded, wait };
     return std::nullopt;
 }
 
+// Expected wait of the response for bandwidth, when the request waits that long for a slot. Zero
+// for short responses, which are sent before long ones.
+Duration Gate::egressWait(const GateWork &work, Duration wait, TimePoint now) const
+{
+    if (m_egress.transferTimeOf(work.request.route) == Duration::zero())
+        return Duration::zero();
+    return m_egress.expectedWait(wait + m_serviceTimes.mean(work.request.route), work.egress, now);
+}
+
 // Minimum time that a request must have left to be started.
 Duration Gate::minTimeLeft(const RouteName &route) const
 {
@@ -168,8 +185,11 @@
 // Whether the request is expected to be answered after its target if it is queued now.
 bool Gate::missesTarget(const GateWork &work, TimePoint now) const
 {
-    return m_limits.rejectsEarly
-        && work.target - now < expectedWait(work) + m_serviceTimes.mean(work.request.route);
+    if (!m_limits.rejectsEarly)
+        return false;
+    const Duration wait = expectedWait(work);
+    return work.target - now < wait + m_serviceTimes.mean(work.request.route)
+        + egressWait(work, wait, now) + m_egress.transferTimeOf(work.request.route);
 }
 
 // Whether the request is expected to miss its target even if it starts now.
@@ -276,6 +296,7 @@
         = takeFromQueues([&](GateQueue &queue) { return queue.takeByLink(link, id); });
     cancelCalls(link, id, outbox);
     for (const GateWork &work : dropped) {
+        m_egress.release(work.egress);
         if (!isDeduplicated(work.request))
             continue;
         // A retry that waited for the dropped request runs instead of it.
@@ -312,6 +333,7 @@
             || *failure == BackendFailure::PartialResponse);
     const Call call = std::move(found->second);
     m_running.erase(found);
+    m_egress.release(call.work.egress);
     const bool wasInCrash = m_lastCrashCalls.erase(result.id) > 0;
     const bool wasIsolated = m_isolatedCall == result.id;
     if (wasIsolated)
@@ -322,8 +344,11 @@
         onCallLost(call, wasIsolated, now, outbox);
     if (failure == nullptr)
         m_containment.onAnswered(call.work.fingerprint);
-    if (failure == nullptr && std::get<Answered>(result.result).status < 500)
+    if (failure == nullptr && std::get<Answered>(result.result).status < 500) {
         m_serviceTimes.record(call.work.request.route, now - call.started);
+        m_egress.onResponse(call.work.request.route,
+                            ByteCount(std::get<Answered>(result.result).body.size()));
+    }
 
     Outcome outcome = failure != nullptr ? outcomeOf(*failure)
                                          : Outcome(std::get<Answered>(std::move(result.result)));
@@ -504,6 +529,7 @@
 void Gate::refuse(const GateWork &work, NotRun notRun, TimePoint now, Outbox<Output> &outbox)
 {
     ++m_counts.refused;
+    m_egress.release(work.egress);
     outbox.emit(GateDecision {
         work.request.attemptId, work.request.service, work.request.route, notRun.reason, load(),
         notRun.retryAfter, m_serviceTimes.mean(work.request.route), work.answerDeadline - now });
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -20,6 +20,10 @@
 // Traffic between failure domains is the most expensive resource that a request uses. A larger
 // request only leaves its own failure domain when that has no servers.
 constexpr ByteCount spillBytesPerWeight { 2000 };
+// The rest of the outgoing bandwidth is for the headers of lower layers, for datagrams and for
+// short messages that are not delayed.
+constexpr double usableEgressShare = 0.85;
+constexpr double bytesPerMegabit = 125'000;
 
 } // namespace
 
@@ -30,6 +34,12 @@
     return self;
 }
 
+ByteRate usableEgress(const SidecarSettings &settings)
+{
+    return ByteRate(
+        static_cast<std::uint64_t>(settings.linkMbps * bytesPerMegabit * usableEgressShare));
+}
+
 Gate::Limits gateLimits(const SidecarSettings &settings)
 {
     Gate::Limits limits;
@@ -38,6 +48,7 @@
     limits.queue.isFair = true;
     limits.queue.bytes = settings.memoryMb * bytesPerMb / queueMemoryDivisor;
     limits.crashes.crashesToSuspect = crashesToSuspect;
+    limits.egress.rate = usableEgress(settings);
     return limits;
 }
 
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -82,6 +82,7 @@
              { "handed_over", counts.dispatched },
              { "refused", counts.refused },
              { "shed", counts.shed },
+             { "egress_refused", counts.egressRefused },
              { "late_results", counts.lateResults },
              { "key_hits", counts.keyHits },
              { "stored_results", gate.results().size() },
--- a/src/pipelines/text.cpp
+++ b/src/pipelines/text.cpp
@@ -74,6 +74,8 @@
         return "malformed";
     case NotRunReason::BackendRefused:
         return "backend-refused";
+    case NotRunReason::EgressFull:
+        return "egress-full";
     case NotRunReason::KeyReused:
         return "idempotency-key-reused";
     }
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -11,6 +11,7 @@
 constexpr double minSeconds = 0.1;
 constexpr double maxSeconds = 3600;
 constexpr std::int64_t maxMemoryMb = 1'000'000;
+constexpr double maxLinkMbps = 1'000'000;
 
 Duration readMs(impl::TomlReader &reader, std::string_view key, Duration defaultValue)
 {
@@ -32,6 +33,7 @@
     impl::readIdentity(settings, reader);
     settings.memoryMb = static_cast<std::uint32_t>(
         reader.integer("memory-mb", 16, maxMemoryMb, settings.memoryMb));
+    settings.linkMbps = reader.number("link-mbps", 0, maxLinkMbps, settings.linkMbps);
     settings.stopGrace = readSeconds(reader, "stop-grace-s", settings.stopGrace);
     reader.reportUnknown();
 }
--- a/tests/scenario/fakenetwork.cpp
+++ b/tests/scenario/fakenetwork.cpp
@@ -63,6 +63,7 @@
                            sendStream(from, std::move(send));
                    },
                    [&](ForwardReply &reply) { sendReply(from, std::move(reply)); },
+                   [](EgressUsed &) {}, // the bandwidth is not limited
                },
                command);
 }
--- a/tests/sidecarsettingstest.cpp
+++ b/tests/sidecarsettingstest.cpp
@@ -42,13 +42,14 @@
 TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_numbersWithAndWithoutFraction_areRead")
 {
     const auto settings
-        = parseSidecarSettings(settingsWith("stop-grace-s = 4.5\nmemory-mb = 160",
+        = parseSidecarSettings(settingsWith("stop-grace-s = 4.5\nmemory-mb = 160\nlink-mbps = 11.5",
                                             "ratio = 0.07\nlimit = 1\nextra = 64\nwindow-s = 10"),
                                "node.toml");
     REQUIRE(isOk(settings));
     const SidecarSettings &read = valueOf(settings);
     CHECK(read.stopGrace == milliseconds(4500));
     CHECK(read.memoryMb == 160);
+    CHECK(read.linkMbps == 11.5);
     CHECK(read.retries.ratio == Share::fromFraction(0.07));
     CHECK(read.retries.limit == Share::all());
     CHECK(read.retries.extra == 64);
@@ -58,9 +59,10 @@
 // Guards against a misspelt key or a number of another unit that is accepted silently.
 TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_wrongValues_areAllReported")
 {
-    const std::string findings = findingsOf(
-        settingsWith("stop-grace-s = true", "ratio = 1.5\nlimit = nan\nwindow-ms = 10"));
+    const std::string findings = findingsOf(settingsWith(
+        "stop-grace-s = true\nlink-mbps = -1", "ratio = 1.5\nlimit = nan\nwindow-ms = 10"));
     CHECK(findings.find("instance.stop-grace-s") != std::string::npos);
+    CHECK(findings.find("instance.link-mbps") != std::string::npos);
     CHECK(findings.find("retries.ratio") != std::string::npos);
     CHECK(findings.find("retries.limit") != std::string::npos);
     CHECK(findings.find("retries.window-ms") != std::string::npos);
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -88,12 +88,26 @@
 
 TEST_CASE_METHOD(WireFixture, "Wire_frameHeaderOutOfRange_isMalformed")
 {
-    CHECK_FALSE(isOk(payloadLength(std::string_view("\x00\x00\x00\x00", 4))));
-    CHECK_FALSE(isOk(payloadLength(std::string_view("\xff\x00\x00\x00", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\x00\x00\x00\x00", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\xff\x00\x00\x00", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\x00\xff\xff\xff", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\x40\x00\x00\x01", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\x90\x00\x00\x01", 4))));
+    CHECK_FALSE(isOk(decodeFrameHeader(std::string_view("\x00\x00\x01", 3))));
     const std::string framed = encodeFrame("abc");
-    const auto length = payloadLength(std::string_view(framed).substr(0, frameHeaderBytes));
-    REQUIRE(isOk(length));
-    CHECK(valueOf(length) == 3);
+    const auto header = decodeFrameHeader(std::string_view(framed).substr(0, frameHeaderBytes));
+    REQUIRE(isOk(header));
+    CHECK(valueOf(header) == FrameHeader { 3 });
+}
+
+TEST_CASE_METHOD(WireFixture, "Wire_headerOfAPiece_keepsClassAndEnd")
+{
+    const bool isLast = GENERATE(true, false);
+    const FrameClass frameClass = GENERATE(FrameClass::Control, FrameClass::Request);
+    const std::string framed = encodePiece("abcd", frameClass, isLast);
+    const auto header = decodeFrameHeader(std::string_view(framed).substr(0, frameHeaderBytes));
+    REQUIRE(isOk(header));
+    CHECK(valueOf(header) == FrameHeader { 4, true, isLast, frameClass });
 }
 
 } // namespace
