--- a/src/app/bench.cpp
+++ b/src/app/bench.cpp
@@ -20,6 +20,7 @@
     Command { "moves", "decisions on moves of traffic, simulated", bench::runMoves },
     Command { "crash", "crashes and harmed requests, with and without containment",
               bench::runCrash },
+    Command { "egress", "long responses above the bandwidth of a machine", bench::runEgress },
     Command { "ring", "hand-over of a message between two threads", bench::runRing },
 };
 
--- a/src/bench/benchcommands.h
+++ b/src/bench/benchcommands.h
@@ -12,5 +12,6 @@
 int runMoves(int argc, char **argv);
 int runCrash(int argc, char **argv);
 int runRing(int argc, char **argv);
+int runEgress(int argc, char **argv);
 
 } // namespace camphorreach::bench
