--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -6,6 +6,7 @@
 #include <camphorreach/impl/adminendpoint.h>
 #include <camphorreach/impl/platformendpoint.h>
 #include <camphorreach/impl/requestpath.h>
+#include <camphorreach/impl/traffic.h>
 #include <camphorreach/localserver.h>
 #include <camphorreach/log.h>
 #include <camphorreach/rollouts.h>
@@ -353,6 +354,7 @@
         !unfinished.isEmpty())
         m_log.warning("event=stop-cut-short left=" + toText(unfinished));
     stop();
+    m_log.info("event=bytes-sent " + TrafficCounters(m_metrics).toText());
     m_log.info("event=stopped");
 }
 
--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -3,6 +3,7 @@
 
 #include <camphorreach/impl/framechannel.h>
 #include <camphorreach/impl/sockets.h>
+#include <camphorreach/impl/traffic.h>
 #include <camphorreach/impl/wire.h>
 #include <camphorreach/result.h>
 
@@ -43,8 +44,8 @@
           m_dropped(metrics.counter("peer.dropped_ring_full")),
           m_unsendable(metrics.counter("peer.unsendable")),
           m_datagramBytes(metrics.counter("peer.datagram_bytes_sent")),
-          m_streamBytes(metrics.counter("peer.stream_bytes_sent")), m_acceptor(m_thread.io()),
-          m_datagrams(m_thread.io()),
+          m_streamBytes(metrics.counter("peer.stream_bytes_sent")), m_traffic(metrics),
+          m_acceptor(m_thread.io()), m_datagrams(m_thread.io()),
           m_longFrames(m_thread.io(), egressRate,
                        [this](EgressBacklogChanged changed) { deliver(changed); }),
           m_input(m_thread.io(), ringCapacity, [this](PeerCommand &&command) {
@@ -113,7 +114,7 @@
     void onIncoming(LinkId link, Envelope &&envelope);
     void deliver(PeerEvent &&event);
     [[nodiscard]] std::optional<Envelope> decode(std::string_view payload);
-    [[nodiscard]] std::string encode(PeerMessage message) const;
+    [[nodiscard]] std::string encode(PeerMessage message);
 
     const NetAddress m_address;
     Sink m_sink;
@@ -122,6 +123,7 @@
     Counter &m_unsendable;
     Counter &m_datagramBytes;
     Counter &m_streamBytes;
+    TrafficCounters m_traffic;
     IoThread m_thread;
     tcp::acceptor m_acceptor;
     udp::socket m_datagrams;
@@ -450,9 +452,12 @@
     return std::nullopt;
 }
 
-std::string PeerEndpoint::Impl::encode(PeerMessage message) const
+std::string PeerEndpoint::Impl::encode(PeerMessage message)
 {
-    return encodePayload({ m_address, std::move(message) });
+    const TrafficKind kind = kindOf(message);
+    std::string payload = encodePayload({ m_address, std::move(message) });
+    m_traffic.add(kind, ByteCount(payload.size()));
+    return payload;
 }
 
 void PeerEndpoint::Impl::onSend(PeerSend &&send)
