--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -12,6 +12,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <atomic>
 #include <future>
 #include <thread>
@@ -24,6 +30,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// A number in the query of a target, such as 5 for "pad" in "/bags/1?pad=5"; zero without it.
+std::size_t numberIn(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    return at == std::string::npos ? 0 : std::stoul(target.substr(at + name.size() + 1));
+}
+
 struct Platform
 {
     using Clients = platform::ClientDialect;
@@ -58,7 +71,13 @@
             sidecar->server = std::make_unique<LoopbackServer>(
                 [self](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
                     ++self->runs;
-                    server.respond(id, signedResponse(request));
+                    HttpResponse response = signedResponse(request);
+                    response.body.append(numberIn(request.target, "pad"), 'x');
+                    const std::size_t delay = numberIn(request.target, "delay");
+                    if (delay == 0)
+                        server.respond(id, std::move(response));
+                    else
+                        server.respondLater(id, std::move(response), milliseconds(delay));
                 });
             configure(sidecar->settings, i, sidecar->server->address());
             sidecars.push_back(std::move(sidecar));
@@ -87,6 +106,7 @@
         settings.backendServer = { server, ServiceName("orders") };
         settings.platform = store.address();
         settings.randomSeed = number + 1;
+        settings.linkMbps = 200;
         settings.logLevel = LogLevel::Error;
     }
 
@@ -110,6 +130,29 @@
                     requestOf("id-" + std::to_string(++attempts), method, target, "bags"));
     }
 
+    // Sends all requests at once on one connection, and reads until it is closed.
+    std::string sendAhead(std::size_t number, const std::vector<std::string> &targets) const
+    {
+        namespace asio = boost::asio;
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        const NetAddress &to = sidecars[number]->settings.clientAddress;
+        socket.connect({ asio::ip::make_address(to.host), to.port });
+        std::string bytes;
+        for (const std::string &target : targets) {
+            const bool isLast = &target == &targets.back();
+            bytes += "GET " + target
+                + " HTTP/1.1\r\nHost: a.example\r\nX-Camphorreach-Deadline-Ms: 30000\r\n"
+                  "X-Camphorreach-Attempt-Id: "
+                + target + (isLast ? "\r\nConnection: close" : "") + "\r\n\r\n";
+        }
+        asio::write(socket, asio::buffer(bytes));
+        std::string responses;
+        boost::system::error_code end;
+        asio::read(socket, asio::dynamic_buffer(responses), end);
+        return responses;
+    }
+
     // Repeats a request until the response has this status, because nothing signals when the nodes
     // have connected to the stand-ins.
     HttpResponse requestUntil(std::uint16_t status, std::size_t number, const std::string &target)
@@ -182,6 +225,33 @@
     stopped.get();
 }
 
+// Guards against responses that are mixed up, cut off or out of order when clients send ahead and
+// long responses pass between nodes in pieces.
+TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_longAndShortRequestsSentAhead_answeredWholeAndInOrder")
+{
+    REQUIRE(announce(0, 1, "ready").status == 200);
+    (void)requestUntil(200, 1, "/bags/1");
+    const std::vector<std::string> targets { "/ledgers/0?delay=200", "/ledgers/1?pad=540000",
+                                             "/ledgers/2", "/ledgers/3?pad=90000&delay=50",
+                                             "/ledgers/4?pad=20000" };
+    const std::string bytes = sendAhead(1, targets);
+    std::size_t at = 0;
+    for (const std::string &target : targets) {
+        const std::size_t bodyAt = bytes.find("\r\n\r\n", at) + 4;
+        const std::string head = bytes.substr(at, bodyAt - at);
+        const std::string expected
+            = "GET " + target + " i-0 " + std::string(numberIn(target, "pad"), 'x');
+        INFO(head);
+        REQUIRE(head.find("HTTP/1.1 200") == 0);
+        CHECK(head.find("X-Camphorreach-Attempt-Id: " + target + "\r\n") != std::string::npos);
+        CHECK(head.find("Content-Length: " + std::to_string(expected.size()) + "\r\n")
+              != std::string::npos);
+        CHECK((bytes.compare(bodyAt, expected.size(), expected) == 0));
+        at = bodyAt + expected.size();
+    }
+    CHECK(at == bytes.size());
+}
+
 // Guards against a node without a configuration that responds that an existing route does not
 // exist.
 TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_noServerKnown_rejectsAtOnceWithRetryAfter")
