--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -131,7 +131,8 @@
     }
 
     // Sends all requests at once on one connection, and reads until it is closed.
-    std::string sendAhead(std::size_t number, const std::vector<std::string> &targets) const
+    [[nodiscard]] std::string sendAhead(std::size_t number,
+                                        const std::vector<std::string> &targets) const
     {
         namespace asio = boost::asio;
         asio::io_context io;
