End pending operations before the schedulers of the frame channel tests

The thread and address builds found a use after free in the fixture: handlers kept channels alive beyond their scheduler. PeerEndpoint runs such handlers in stop(); the fixture now does the same.

--- a/tests/framechanneltest.cpp
+++ b/tests/framechanneltest.cpp
@@ -38,6 +38,18 @@
         bool hasReadEnded = false;
     };
 
+    // Runs the handlers of all channels, which would otherwise keep them alive beyond the
+    // schedulers.
+    ~FrameChannelFixture()
+    {
+        for (const std::weak_ptr<Side> &side : sides) {
+            if (const auto alive = side.lock())
+                alive->channel.close();
+        }
+        io.restart();
+        io.poll();
+    }
+
     struct Pair
     {
         std::shared_ptr<Side> left;
@@ -56,6 +68,7 @@
     std::shared_ptr<Side> open(tcp::socket socket, LongFrameScheduler &scheduler)
     {
         auto side = std::make_shared<Side>(std::move(socket), scheduler, bytesSent);
+        sides.push_back(side);
         Side *raw = side.get();
         side->channel.start(side,
                             { [raw](std::string_view payload) {
@@ -85,6 +98,7 @@
     MetricsRegistry metrics;
     Counter &bytesSent = metrics.counter("bytes");
     std::vector<Duration> backlogs;
+    std::vector<std::weak_ptr<Side>> sides; // all that were opened
     LongFrameScheduler leftScheduler { io, rate, [this](EgressBacklogChanged changed) {
                                           backlogs.push_back(changed.drainTime);
                                       } };
@@ -184,6 +198,8 @@
         bytes += encodePiece(payload('a', 200'000), FrameClass::Request, false);
     asio::async_write(sender, asio::buffer(bytes), [](boost::system::error_code, std::size_t) {});
     (void)runUntil([&] { return side->hasReadEnded; });
+    sender.close(); // ends the pending write while its buffer exists
+    io.poll();
     CHECK(side->hasReadEnded);
     CHECK(side->frames.empty());
 }
