Let the estimate of waiting responses drain with time

Cause: EgressBudget added responses that no report had covered yet to a sum that only a report reset. When the report never came (a full ring, a link that is gone), the gate refused requests with long responses as egress-full until another one. Change: responses go into the one estimate that shrinks as time passes; a report replaces it. Measured: Gate_noReportAfterLongResponses_admitsOnceTheyHaveDrained fails before (egress-full one second after the responses had drained) and passes after, with all cases of the gate and of egress (48).

--- a/include/camphorreach/egressbudget.h
+++ b/include/camphorreach/egressbudget.h
@@ -24,7 +24,7 @@
 
     void onBacklog(const EgressBacklogChanged &changed, TimePoint now) noexcept;
     /// Records a response, which is going to be sent.
-    void onResponse(const RouteName &route, ByteCount size);
+    void onResponse(const RouteName &route, ByteCount size, TimePoint now);
 
     /// Expected time to send a response of \a route; zero when its responses are short.
     [[nodiscard]] Duration transferTimeOf(const RouteName &route) const;
@@ -39,12 +39,15 @@
     [[nodiscard]] bool isTooLong(Duration wait) const noexcept { return wait > m_limits.maxWait; }
 
 private:
+    [[nodiscard]] Duration drainTime(TimePoint now) const noexcept;
+
     const Limits m_limits;
     RouteBytes m_sizes; // of responses
     Duration m_reserved {}; // of requests that were admitted and have no response yet
-    Duration m_drainTime {}; // as last reported
-    TimePoint m_reportedAt {};
-    Duration m_unreported {}; // of long responses since the last report
+    // Of the long responses that wait, estimated at m_estimatedAt. It shrinks as time passes, so
+    // that a report that is lost delays no later request for longer than the responses take.
+    Duration m_drainTime {};
+    TimePoint m_estimatedAt {};
 };
 
 } // namespace camphorreach
--- a/src/filters/requests/egressbudget.cpp
+++ b/src/filters/requests/egressbudget.cpp
@@ -8,15 +8,21 @@
 void EgressBudget::onBacklog(const EgressBacklogChanged &changed, TimePoint now) noexcept
 {
     m_drainTime = changed.drainTime;
-    m_reportedAt = now;
-    m_unreported = {};
+    m_estimatedAt = now;
 }
 
-void EgressBudget::onResponse(const RouteName &route, ByteCount size)
+void EgressBudget::onResponse(const RouteName &route, ByteCount size, TimePoint now)
 {
     m_sizes.record(route, size);
-    if (size >= longMessageSize)
-        m_unreported += transferTime(size, m_limits.rate);
+    if (size < longMessageSize)
+        return;
+    m_drainTime = drainTime(now) + transferTime(size, m_limits.rate);
+    m_estimatedAt = now;
+}
+
+Duration EgressBudget::drainTime(TimePoint now) const noexcept
+{
+    return std::max(Duration::zero(), m_drainTime - (now - m_estimatedAt));
 }
 
 Duration EgressBudget::transferTimeOf(const RouteName &route) const
@@ -34,8 +40,7 @@
 
 Duration EgressBudget::expectedWait(Duration readyIn, Duration own, TimePoint now) const noexcept
 {
-    const Duration drainTime = std::max(Duration::zero(), m_drainTime - (now - m_reportedAt));
-    const Duration ahead = drainTime + m_unreported + m_reserved - own;
+    const Duration ahead = drainTime(now) + m_reserved - own;
     return std::max(Duration::zero(), ahead - readyIn);
 }
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -347,7 +347,7 @@
     if (failure == nullptr && std::get<Answered>(result.result).status < 500) {
         m_serviceTimes.record(call.work.request.route, now - call.started);
         m_egress.onResponse(call.work.request.route,
-                            ByteCount(std::get<Answered>(result.result).body.size()));
+                            ByteCount(std::get<Answered>(result.result).body.size()), now);
     }
 
     Outcome outcome = failure != nullptr ? outcomeOf(*failure)
--- a/tests/egresstest.cpp
+++ b/tests/egresstest.cpp
@@ -101,8 +101,8 @@
 protected:
     EgressBudgetFixture()
     {
-        budget.onResponse(exports, longSize);
-        budget.onResponse(reads, ByteCount(500));
+        budget.onResponse(exports, longSize, now);
+        budget.onResponse(reads, ByteCount(500), now);
         budget.onBacklog({}, now);
     }
 
@@ -128,7 +128,7 @@
     CHECK(budget.expectedWait({}, second, now) == milliseconds(100));
     CHECK(budget.expectedWait(milliseconds(150), {}, now) == milliseconds(50));
     budget.release(first);
-    budget.onResponse(exports, longSize);
+    budget.onResponse(exports, longSize, now);
     CHECK(budget.expectedWait({}, {}, now) == milliseconds(200));
     budget.onBacklog({ milliseconds(100) }, now);
     CHECK(budget.expectedWait({}, {}, now) == milliseconds(200));
@@ -204,6 +204,22 @@
     CHECK(dispatchedIds().back() == 102);
 }
 
+// Guards against a gate that refuses long responses for good because the report after some of them
+// was dropped.
+TEST_CASE_METHOD(GateEgressFixture, "Gate_noReportAfterLongResponses_admitsOnceTheyHaveDrained")
+{
+    for (int i = 0; i < 4; ++i)
+        send(withRoute(request(401 + static_cast<std::uint64_t>(i)), "exports"));
+    for (std::size_t i = 0; i < 4; ++i)
+        answer(calls[calls.size() - 4 + i].id.value(), std::string(longSize.value(), 'x'));
+    send(withRoute(request(410), "exports"));
+    CHECK(outcomeOf(410) == "not-run egress-full");
+    now += seconds(1);
+    send(withRoute(request(411), "exports"));
+    CHECK(outcomeOf(411) == "none");
+    CHECK(dispatchedIds().back() == 411);
+}
+
 // Guards against reservations that outlive their requests, after which nothing would be admitted.
 TEST_CASE_METHOD(GateEgressFixture, "Gate_longRequestsEndInEveryWay_reservationsAreReleased")
 {
