List the store after a failed watch, and read replies of a page and an object

Cause: a watch returns every version since its revision in full. A reply of over 1 MiB was refused and reported as no reply, and the catalog sent the same watch again, whose reply could only grow, until the store had dropped that history.

Change: a watch that has failed, for whatever reason, is followed by a list, which holds only the newest version. A reply that is too large is told apart from none, and is followed by a list at once. The limit for replies of the store is that of a page that ends with the largest object, so that a list can always be read; beyond it the calls back off.

--- a/include/camphorreach/impl/httpclient.h
+++ b/include/camphorreach/impl/httpclient.h
@@ -24,9 +24,10 @@
         NotSent,
         ConnectionLost,
         PartialResponse,
-        /// Malformed, too large, of unknown length (see acceptsCloseDelimited), or not matched to
-        /// the call.
+        /// Malformed, of unknown length (see acceptsCloseDelimited), or not matched to the call.
         InvalidResponse,
+        /// The body exceeds Options::bodyBytes.
+        ResponseTooLarge,
         TimedOut,
         Cancelled,
     };
--- a/include/camphorreach/impl/platformendpoint.h
+++ b/include/camphorreach/impl/platformendpoint.h
@@ -27,6 +27,9 @@
     {
         codec.timeoutOf(call)
         } -> std::same_as<Duration>;
+    {
+        codec.maxReplyBytes()
+        } -> std::same_as<std::size_t>;
 };
 
 /// Encodes an operation as an HTTP request.
@@ -60,6 +63,7 @@
     {
         return impl::timeoutOf(call.operation);
     }
+    [[nodiscard]] std::size_t maxReplyBytes() const { return maxBodyBytes; }
 };
 
 template <PlatformCodec Codec>
@@ -81,7 +85,7 @@
                           Codec codec = {})
         : m_codec(std::move(codec)), m_sink(std::move(sink)),
           m_calls(metrics.counter("platform.calls")),
-          m_client(m_thread.io(), platform, maxConnections),
+          m_client(m_thread.io(), platform, maxConnections, clientOptions(m_codec)),
           m_input(m_thread.io(), ringCapacity,
                   [this](Command &&command) { onCommand(std::move(command)); })
     { }
@@ -96,6 +100,13 @@
     // Enough for the watches, a lease renewal, and a few concurrent reads and writes.
     static constexpr std::size_t maxConnections = 8;
 
+    [[nodiscard]] static HttpClient::Options clientOptions(const Codec &codec)
+    {
+        HttpClient::Options options;
+        options.bodyBytes = codec.maxReplyBytes();
+        return options;
+    }
+
     void onCommand(Command &&command)
     {
         m_calls.add();
--- a/include/camphorreach/store.h
+++ b/include/camphorreach/store.h
@@ -121,7 +121,13 @@
     bool mayHaveTakenEffect = false;
 };
 
-using StoreResult = std::variant<StoreEntries, StoreWritten, StoreRefusal, StoreNoReply>;
+/// The reply to a list or watch exceeds the size that this node reads. Sent again unchanged, the
+/// call would fail again.
+struct StoreReplyTooLarge
+{ };
+
+using StoreResult = std::variant<StoreEntries, StoreWritten, StoreRefusal, StoreNoReply,
+                                 StoreReplyTooLarge>;
 
 struct StoreReply
 {
--- a/src/endpoints/backendendpoint.cpp
+++ b/src/endpoints/backendendpoint.cpp
@@ -44,6 +44,7 @@
     case HttpFailure::Kind::PartialResponse:
         return BackendFailure::PartialResponse;
     case HttpFailure::Kind::InvalidResponse:
+    case HttpFailure::Kind::ResponseTooLarge:
         return BackendFailure::InvalidResponse;
     case HttpFailure::Kind::TimedOut:
         return BackendFailure::TimedOut;
--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -30,6 +30,8 @@
 // A response that violates HTTP is not a lost connection: the server is still reachable.
 HttpFailure::Kind failureKind(ErrorCodeType error, HttpFailure::Kind kindIfLost)
 {
+    if (error == http::error::body_limit)
+        return HttpFailure::Kind::ResponseTooLarge;
     const bool isEndOfStream
         = error == http::error::end_of_stream || error == http::error::partial_message;
     const bool isHttpError
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -201,20 +201,25 @@
     informer.nextCall = now + (m_earlyNodeLists > 0 ? earlyNodeListInterval : nodeListInterval);
 }
 
+// A failed watch is not repeated: its reply would hold every version since then in full, and would
+// grow with each of them beyond any limit on its size. A list returns only the newest.
 void Catalog::onFailure(Informer &informer, const StoreResult &result, TimePoint now)
 {
-    const auto *refusal = std::get_if<StoreRefusal>(&result);
+    const bool wasWatch = informer.resourceVersion.has_value();
+    informer.resourceVersion.reset();
     informer.cursor.clear();
     m_listedNodes.clear();
-    if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::HistoryGone) {
-        informer.resourceVersion.reset();
+    const auto *refusal = std::get_if<StoreRefusal>(&result);
+    const bool isHistoryGone
+        = refusal != nullptr && refusal->reason == StoreRefusal::Reason::HistoryGone;
+    if (isHistoryGone || (wasWatch && std::holds_alternative<StoreReplyTooLarge>(result))) {
         informer.nextCall = now;
         return;
     }
     ++m_failedCalls;
     informer.nextCall = now + retryDelay(informer.failures);
     informer.failures = std::min(informer.failures + 1, maxBackoffDoublings);
-    if (informer.resourceVersion && informer.kind != StoreKind::Nodes && !isWatcher(now))
+    if (wasWatch && !isWatcher(now))
         informer.nextCall.reset();
 }
 
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -165,6 +165,48 @@
     CHECK(std::holds_alternative<StoreList>(calls.back().operation));
 }
 
+// Guards against a watch that is sent again although its reply, which holds every version since
+// then, was too large to be read.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_watchReplyTooLarge_listsAtOnce")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    const std::size_t before = calls.size();
+    answer(lastCall<StoreWatch>(StoreKind::Configuration), StoreReplyTooLarge {});
+    REQUIRE(calls.size() == before + 1);
+    CHECK(std::holds_alternative<StoreList>(calls.back().operation));
+    answer(&calls.back(), entries(config(9), 50));
+    CHECK(versions == std::vector<std::uint64_t> { 3, 9 });
+}
+
+// Guards against a watch that returns all the versions that were stored while the store did not
+// respond.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_watchGetsNoReply_listsNext")
+{
+    answer(lastCall<StoreList>(StoreKind::Configuration), entries(config(3), 40));
+    answer(lastCall<StoreWatch>(StoreKind::Configuration), StoreNoReply {});
+    const std::size_t before = calls.size();
+    advance(seconds(1));
+    REQUIRE(calls.size() > before);
+    CHECK(std::ranges::none_of(calls.begin() + static_cast<std::ptrdiff_t>(before), calls.end(),
+                               [](const StoreCall &call) {
+                                   const auto *watch = std::get_if<StoreWatch>(&call.operation);
+                                   return watch != nullptr
+                                       && watch->kind == StoreKind::Configuration;
+                               }));
+}
+
+// Guards against a flood of calls for an object that is too large to be read at all.
+TEST_CASE_METHOD(CatalogFixture, "Catalog_listReplyTooLarge_callsBackOff")
+{
+    std::size_t answered = 0;
+    for (int i = 0; i < 100; ++i) {
+        while (answered < calls.size())
+            process(StoreReply { calls[answered++].id, StoreReplyTooLarge {} });
+        advance(milliseconds(100));
+    }
+    CHECK(calls.size() < 3 * 25); // as in Catalog_storeUnavailable_callsBackOff
+}
+
 // Guards against a flood of calls while the store is unavailable.
 TEST_CASE_METHOD(CatalogFixture, "Catalog_storeUnavailable_callsBackOff")
 {
--- a/tests/catalogworld.cpp
+++ b/tests/catalogworld.cpp
@@ -19,6 +19,8 @@
 // Size of one route of a configuration in the store's format.
 constexpr std::size_t routeBytesInStore = 120;
 constexpr std::size_t replyHeadBytes = 300;
+// After this time the calling endpoint reports that there was no reply.
+constexpr Duration replyTimeout = milliseconds(1500);
 
 MeshConfig firstConfig(std::size_t routes)
 {
@@ -94,6 +96,16 @@
 void CatalogWorld::silenceStoreFor(std::set<std::size_t> nodes)
 {
     m_silenced = std::move(nodes);
+    for (PendingWatch &pending : m_pendingWatches)
+        pending.isLost = pending.isLost || m_silenced.contains(pending.node);
+}
+
+std::set<std::size_t> CatalogWorld::allNodes() const
+{
+    std::set<std::size_t> result;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        result.insert(i);
+    return result;
 }
 
 void CatalogWorld::kill(const std::set<std::size_t> &nodes)
@@ -203,15 +215,8 @@
     if (const auto *watch = std::get_if<StoreWatch>(&call.operation)) {
         ++m_listAndWatchCalls;
         const std::uint64_t id = ++m_nextWatchId;
-        m_pendingWatches.push_back({ index, call.id, *watch, id });
-        m_events.scheduleAfter(watch->wait, [this, id] {
-            const auto found = std::ranges::find(m_pendingWatches, id, &PendingWatch::id);
-            if (found == m_pendingWatches.end())
-                return;
-            const PendingWatch ended = *found;
-            m_pendingWatches.erase(found);
-            reply(ended.node, ended.call, StoreEntries { {}, ended.watch.since, false }, 0);
-        });
+        m_pendingWatches.push_back({ index, call.id, *watch, id, m_silenced.contains(index) });
+        m_events.scheduleAfter(watch->wait, [this, id] { endWatch(id); });
         answerPendingWatches();
         return;
     }
@@ -231,6 +236,19 @@
     reply(index, call.id, std::move(entries), configs);
 }
 
+void CatalogWorld::endWatch(std::uint64_t id)
+{
+    const auto found = std::ranges::find(m_pendingWatches, id, &PendingWatch::id);
+    if (found == m_pendingWatches.end())
+        return;
+    const PendingWatch ended = *found;
+    m_pendingWatches.erase(found);
+    if (ended.isLost)
+        loseReply(ended.node, ended.call);
+    else
+        reply(ended.node, ended.call, StoreEntries { {}, ended.watch.since, false }, 0);
+}
+
 StoreEntries CatalogWorld::entriesSince(ObjectVersion since, std::size_t &configs) const
 {
     StoreEntries entries;
@@ -248,7 +266,7 @@
 {
     std::vector<PendingWatch> due;
     std::erase_if(m_pendingWatches, [&](const PendingWatch &pending) {
-        const bool isDue = pending.watch.kind == StoreKind::Configuration
+        const bool isDue = !pending.isLost && pending.watch.kind == StoreKind::Configuration
             && pending.watch.since < m_history.back().object;
         if (isDue)
             due.push_back(pending);
@@ -262,16 +280,21 @@
 }
 
 // A call to a store that does not respond ends with the timeout of the calling endpoint.
+void CatalogWorld::loseReply(std::size_t index, StoreCallId call)
+{
+    m_events.scheduleAfter(replyTimeout, [this, index, call] {
+        deliver(index, StoreReply { call, StoreNoReply {} });
+    });
+}
+
 void CatalogWorld::reply(std::size_t index, StoreCallId call, StoreResult result,
                          std::size_t configs)
 {
-    if (m_silenced.contains(index)) {
-        m_events.scheduleAfter(milliseconds(1500), [this, index, call] {
-            deliver(index, StoreReply { call, StoreNoReply {} });
-        });
-        return;
-    }
+    if (m_silenced.contains(index))
+        return loseReply(index, call);
     const std::size_t bytes = replyHeadBytes + configs * m_options.routes * routeBytesInStore;
+    if (bytes > m_options.maxReplyBytes)
+        return deliver(index, StoreReply { call, StoreReplyTooLarge {} });
     const auto sharedResult = std::make_shared<StoreResult>(std::move(result));
     m_events.scheduleAt(transfer(nullptr, m_nodes[index]->down, bytes),
                         [this, index, call, sharedResult] {
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -26,6 +26,7 @@
         std::size_t nodes = 26;
         std::size_t routes = 2'500;
         std::uint64_t linkBytesPerSecond = 1'250'000; ///< Of every node, in each direction.
+        std::size_t maxReplyBytes = 2 * 1024 * 1024; ///< Longer replies of the store are not read.
     };
 
     explicit CatalogWorld(Options options);
@@ -35,8 +36,10 @@
     void publish();
     /// Stores \a count new versions, one every \a gap.
     void publishSeries(int count, Duration gap);
-    /// From now on no call of these nodes, by index, gets a reply, pending watches included.
+    /// From now on no call of these nodes, by index, gets a reply, pending watches included, also
+    /// after a later call of this function for other nodes.
     void silenceStoreFor(std::set<std::size_t> nodes);
+    [[nodiscard]] std::set<std::size_t> allNodes() const;
     /// Stops these nodes, by index, without notice to the others.
     void kill(const std::set<std::size_t> &nodes);
 
@@ -82,6 +85,7 @@
         StoreCallId call;
         StoreWatch watch;
         std::uint64_t id = 0;
+        bool isLost = false; // taken by a store that does not respond
     };
 
     [[nodiscard]] static Endpoint endpointOf(std::size_t index);
@@ -93,6 +97,8 @@
     void reply(std::size_t index, StoreCallId call, StoreResult result, std::size_t configs);
     [[nodiscard]] StoreEntries entriesSince(ObjectVersion since, std::size_t &configs) const;
     void answerPendingWatches();
+    void endWatch(std::uint64_t id);
+    void loseReply(std::size_t index, StoreCallId call);
     void onSnapshot(std::size_t index, std::shared_ptr<const Snapshot> snapshot);
     [[nodiscard]] TimePoint transfer(Link *from, Link &to, std::size_t bytes) const;
 
--- a/tests/configdelaytest.cpp
+++ b/tests/configdelaytest.cpp
@@ -21,6 +21,15 @@
     CatalogWorld world { {} };
 };
 
+// All nodes of the failure domain watch the store, so no other node can supply what they miss.
+class SmallDomainFixture
+{
+protected:
+    SmallDomainFixture() { world.run(seconds(4)); }
+
+    CatalogWorld world { { .nodes = 3 } };
+};
+
 // Guards against complete configurations that queue behind each other on links of 10 Mbit/s
 // (incident inc1: a version became active 4.0 s after its acknowledgement).
 TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_largeConfigChangesOften_isActiveInTime")
@@ -74,6 +83,18 @@
     CHECK(world.hasConverged());
 }
 
+// Guards against watches that are sent again although their reply, which holds every version since
+// the store stopped responding, is too large to be read.
+TEST_CASE_METHOD(SmallDomainFixture, "CatalogWorld_watchRepliesTooLarge_newestVersionIsListed")
+{
+    world.silenceStoreFor(world.allNodes());
+    world.run(seconds(4));
+    world.silenceStoreFor({});
+    world.publishSeries(30, milliseconds(170));
+    world.run(maxActivationDelay);
+    CHECK(world.hasConverged());
+}
+
 // Guards against a number of store calls that grows with the number of nodes. Expected are two
 // watches of 3 s at each of three nodes, and a few more for nodes whose copy is briefly too stale.
 TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_noChanges_onlyWatchersCallTheStore")
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -305,6 +305,23 @@
     CHECK_FALSE(std::get<StoreNoReply>(reply(StoreList {}, 500, "")).mayHaveTakenEffect);
 }
 
+// Guards against a reply that is refused for its size and then asked for again unchanged.
+TEST_CASE_METHOD(PlatformFixture, "Platform_storeReplyAboveLimit_isReportedAsTooLarge")
+{
+    const impl::HttpResult tooLarge
+        = impl::HttpFailure { impl::HttpFailure::Kind::ResponseTooLarge, "body limit exceeded" };
+    const auto resultOf = [&](StoreOperation operation) {
+        return platform::StoreCodec()
+            .toReply({ StoreCallId(1), std::move(operation) }, tooLarge)
+            .result;
+    };
+    CHECK(std::holds_alternative<StoreReplyTooLarge>(resultOf(StoreWatch {})));
+    CHECK(std::holds_alternative<StoreReplyTooLarge>(resultOf(StoreList {})));
+    CHECK(std::get<StoreNoReply>(resultOf(StoreRegister {})).mayHaveTakenEffect);
+    // A page of 1 MB may end with an object of 1 MB.
+    CHECK(platform::StoreCodec().maxReplyBytes() > 2 * 1024 * 1024);
+}
+
 TEST_CASE_METHOD(PlatformFixture, "Platform_heartbeat_isDecoded")
 {
     const auto message = decodeAnnouncement(R"({"address":"10.0.0.9:80","born":1700,"server_info":
