Keep acknowledged departures in the record of the node in the store

Seen by callers: a node acknowledged that its backend server had left, was killed, and heard a heartbeat afterwards that the server had sent before.

Cause: departures were kept in the memory of the process only, so the process after it believed any heartbeat.

Change: the departures, at most 16, are part of the record that the node keeps in the store anyway. A departure, and a first draining heartbeat, is acknowledged once the store holds it, or after 500 ms without a reply of the store. A node that starts learns them from the refusal to create its record again, so it makes no further call, and holds announcements back until then. The record is replaced on condition of its version and merged after a conflict, so that a late write of an earlier process loses nothing. While the store is away for longer than 2 s after a start, only announcements that arrive from then on count, and departures that are read later still close the gate.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <camphorreach/catalogspread.h>
+#include <camphorreach/departedrun.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/membership.h>
@@ -35,8 +36,9 @@
 };
 
 /// Keeps a local copy of the configuration and the rollout orders in the platform's store,
-/// registers this node there and discovers other nodes. While the store cannot be reached, updates
-/// come from other nodes. The active version never decreases.
+/// registers this node there with the departures that it has acknowledged, restores those of its
+/// earlier processes from there, and discovers other nodes. While the store cannot be reached,
+/// updates come from other nodes. The active version never decreases.
 ///
 /// A few nodes of every failure domain watch the store, and the rest get changes from their peers.
 /// The staleness of a copy is the time since the store was last known, directly or through other
@@ -45,9 +47,10 @@
 class Catalog
 {
 public:
-    using Input = std::variant<StoreReply, PeerReceived<CatalogMessage>, EndpointsChanged>;
+    using Input = std::variant<StoreReply, PeerReceived<CatalogMessage>, EndpointsChanged,
+                               DeparturesChanged>;
     using Output = std::variant<StoreCall, PeerSend, SnapshotChanged, OrdersChanged, JoinPeers,
-                                ConfigurationReceived>;
+                                ConfigurationReceived, DeparturesRestored, DeparturesStored>;
 
     struct Options
     {
@@ -96,7 +99,11 @@
     void onInformerReply(Informer &informer, StoreReply &reply, TimePoint now,
                          Outbox<Output> &outbox);
     void onLateReply(Informer &informer, StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
-    void onRegistrationReply(const StoreResult &result, TimePoint now);
+    void onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox);
+    void onRecordConflict(const StoreRefusal &refusal, TimePoint now, Outbox<Output> &outbox);
+    void onDepartures(const DeparturesChanged &changed, TimePoint now);
+    void publishRestored(Outbox<Output> &outbox);
+    void writeRecord(Outbox<Output> &outbox);
     void onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
                    Outbox<Output> &outbox);
     void onOverdue(Informer &informer, TimePoint now);
@@ -152,9 +159,13 @@
     std::vector<NetAddress> m_listedNodes; // of the list being read; bounded
     unsigned m_earlyNodeLists = 4; // lists left to read at the early interval
     std::optional<StoreCallId> m_registrationCall; // pending
-    // Empty while the call is pending and once registered.
+    // Empty while the call is pending and once the record is stored.
     std::optional<TimePoint> m_nextRegistration = TimePoint {};
     bool m_hasRecord = false; // the record should exist, so it is replaced rather than created
+    std::optional<ObjectVersion> m_recordVersion; // of the existing record, if it is known
+    DepartedRuns m_departures; // of this process, and of earlier ones once they are restored
+    DepartedRuns m_writtenDepartures; // by the last call that wrote the record
+    bool m_areDeparturesRestored = false; // never reset
     std::optional<TimePoint> m_startedAt; // time of the first advance()
     std::optional<TimePoint> m_peerFreshAsOf; // like freshAsOf of an informer, through peers
     TimePoint m_lastPeerMessage {};
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -6,6 +6,7 @@
 #include <camphorreach/impl/adminendpoint.h>
 #include <camphorreach/impl/platformendpoint.h>
 #include <camphorreach/impl/requestpath.h>
+#include <camphorreach/impl/storeddepartures.h>
 #include <camphorreach/impl/traffic.h>
 #include <camphorreach/localserver.h>
 #include <camphorreach/log.h>
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -87,6 +89,8 @@
     static constexpr std::size_t warmConnections = 2;
     // Heartbeats may be seconds late; after this many missed ones the server is considered gone.
     static constexpr int missedHeartbeats = 4;
+    // The backend server calls another node, or leaves, when it is not answered within a second.
+    static constexpr Duration departureWriteTime = std::chrono::milliseconds(500);
     // Clients stop sending after two failed readiness checks, one second apart.
     static constexpr Duration acceptPeriod = std::chrono::milliseconds(2500);
     // Reserved at the end of the stop grace period for joining the threads, on a machine with a
@@ -103,7 +107,9 @@
     void onCatalogOutput(Catalog::Output &&output);
     void onRolloutsOutput(Rollouts::Output &&output);
     void onLocalServerOutput(LocalServer::Output &&output);
+    void onBackendAnnounced(BackendAnnounced &&announced);
     [[nodiscard]] HttpResponse onAnnouncement(const HttpRequest &request);
+    void waitUntilStored(const DepartedRun &run);
     [[nodiscard]] std::map<std::string, AdminEndpoint::Handler> adminHandlers();
     [[nodiscard]] std::string dump() const;
     void stop();
@@ -125,6 +131,7 @@
     Stage<Catalog> m_catalog;
     Stage<Rollouts> m_rollouts;
     Stage<LocalServer> m_localServer;
+    StoredDepartures m_storedDepartures;
     StoreEndpoint m_store;
     AdminEndpoint m_admin;
 };
@@ -233,6 +240,13 @@
             [this](const ConfigurationReceived &received) { m_log.info(toText(received)); },
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
+            [this](DeparturesRestored &restored) {
+                m_storedDepartures.update(restored.departures);
+                m_localServer.ring().push(std::move(restored));
+            },
+            [this](const DeparturesStored &stored) {
+                m_storedDepartures.update(stored.departures);
+            },
         },
         output);
 }
@@ -254,7 +268,20 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onLocalServerOutput(LocalServer::Output &&output)
 {
-    auto &announced = std::get<BackendAnnounced>(output);
+    std::visit(
+        Overloaded {
+            [this](BackendAnnounced &announced) { onBackendAnnounced(std::move(announced)); },
+            // From the reserve, as the catalog's thread waits for this one's ring.
+            [this](DeparturesChanged &changed) {
+                (void)m_catalog.ring().pushReserved(std::move(changed));
+            },
+        },
+        output);
+}
+
+template <PlatformDialect Dialect>
+void MeshNode<Dialect>::onBackendAnnounced(BackendAnnounced &&announced)
+{
     m_log.info("event=backend-announced server=" + announced.server.value()
                + " service=" + announced.service.value() + " version=" + announced.version.value()
                + " accepting=" + (announced.isAccepting ? "1" : "0"));
@@ -268,7 +295,8 @@
 }
 
 // The response does not wait for the gate, which stops admitting requests as soon as the
-// announcement has passed through the rings.
+// announcement has passed through the rings. It waits for the store, because the acknowledgement of
+// a departure binds the processes after this one.
 template <PlatformDialect Dialect>
 HttpResponse MeshNode<Dialect>::onAnnouncement(const HttpRequest &request)
 {
@@ -277,19 +305,37 @@
         m_log.warning("event=announcement-unreadable reason=\"" + error->text + "\"");
         return { 400, {}, error->text + "\n" };
     }
-    if (auto *departure = std::get_if<BackendDeparture>(&message))
+    std::optional<DepartedRun> leaving;
+    if (auto *departure = std::get_if<BackendDeparture>(&message)) {
         departure->receivedAt = BackendStartTime(wallTimeNow().value());
+        leaving = { departure->server, departure->startTime.value_or(BackendStartTime()) };
+    } else if (const auto *announcement = std::get_if<BackendAnnouncement>(&message);
+               announcement != nullptr && announcement->isDraining) {
+        leaving = { announcement->server, announcement->startTime };
+    }
     const bool isQueued
         = std::visit(Overloaded { [](Error &) { return false; },
                                   [this](auto &decoded) {
                                       return m_localServer.ring().tryPush(std::move(decoded));
                                   } },
                      message);
+    if (isQueued && leaving)
+        waitUntilStored(*leaving);
     const HttpHeader jsonType { "Content-Type", "application/json" };
     return isQueued ? HttpResponse { 200, { jsonType }, "{}" }
                     : HttpResponse { 503, {}, "the node is busy or stopping\n" };
 }
 
+// While the store does not respond, the departure is acknowledged all the same: this process keeps
+// to it, and writes it as soon as the store is back.
+template <PlatformDialect Dialect>
+void MeshNode<Dialect>::waitUntilStored(const DepartedRun &run)
+{
+    const bool isStored = m_storedDepartures.waitFor(run, departureWriteTime);
+    m_log.info("event=departure-acknowledged server=" + run.server.value() + " start-time="
+               + std::to_string(run.startTime.value()) + " stored=" + (isStored ? "1" : "0"));
+}
+
 template <PlatformDialect Dialect>
 std::map<std::string, AdminEndpoint::Handler> MeshNode<Dialect>::adminHandlers()
 {
@@ -361,6 +407,7 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::stop()
 {
+    m_storedDepartures.close();
     m_admin.stop();
     m_path.stopFilters();
     m_catalog.stop();
--- a/include/camphorreach/impl/platformendpoint.h
+++ b/include/camphorreach/impl/platformendpoint.h
@@ -112,8 +112,8 @@
 
 private:
     static constexpr std::size_t ringCapacity = 1024;
-    // Enough for the watches, a lease renewal, a few concurrent reads and writes, and the calls that
-    // a store has taken without responding.
+    // Enough for the watches, a lease renewal, a few concurrent reads and writes, and the calls
+    // that a store has taken without responding.
     static constexpr std::size_t maxConnections = 16;
 
     [[nodiscard]] static HttpClient::Options clientOptions(const Codec &codec)
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -1,6 +1,7 @@
 // Local server: the filter that tracks the state that the local backend server announces.
 #pragma once
 
+#include <camphorreach/departedrun.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/netaddress.h>
@@ -17,9 +18,6 @@
 
 namespace camphorreach {
 
-/// Wall-clock time at which a backend server started, which identifies one run of it. Only compared
-/// with times from the clock of the same machine.
-using BackendStartTime = Strong<struct BackendStartTimeTag, std::int64_t>;
 /// Sequence number of an announcement within one run of a backend server.
 using AnnouncementSequence = Strong<struct AnnouncementSequenceTag, std::uint64_t>;
 
@@ -56,14 +54,18 @@
 
 /// Orders announcements by run and sequence number, so that late ones have no effect, and decides
 /// whether the backend server accepts new requests. Publishes nothing before the first
-/// announcement, including after a restart of this node, so that a draining server whose state was
-/// lost in the restart gets no requests.
+/// announcement.
+///
+/// A departure that was acknowledged binds later processes of the node too: after a restart,
+/// announcements are held back until the departures that earlier processes have stored are known.
+/// While the store cannot be read, announcements are accepted that arrive later than a timeout
+/// after the start, when those that were sent before the restart should have arrived.
 class LocalServer
 {
 public:
-    using Input
-        = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings, SnapshotChanged>;
-    using Output = std::variant<BackendAnnounced>;
+    using Input = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings,
+                               SnapshotChanged, DeparturesRestored>;
+    using Output = std::variant<BackendAnnounced, DeparturesChanged>;
 
     /// The backend server is considered gone after \a heartbeatTimeout without an announcement.
     LocalServer(LocalServerSettings settings, Duration heartbeatTimeout);
@@ -73,17 +75,14 @@
     [[nodiscard]] std::optional<TimePoint> nextDeadline() const;
 
 private:
-    struct DepartedRun
-    {
-        InstanceId server;
-        BackendStartTime startTime;
-    };
-
     void onAnnouncement(BackendAnnouncement &&announcement, TimePoint now);
     void onDeparture(const BackendDeparture &departure);
     void onSnapshot(SnapshotChanged &&changed, TimePoint now);
+    void onDeparturesRestored(const DeparturesRestored &restored, TimePoint now);
+    void onRestoreTimeout();
+    void holdBack(BackendAnnouncement &&announcement);
+    void releasePending(TimePoint now);
     [[nodiscard]] bool isKnownService(const ServiceName &service) const;
-    [[nodiscard]] bool hasDeparted(const BackendAnnouncement &announcement) const;
     void publish(TimePoint now, Outbox<Output> &outbox);
 
     LocalServerSettings m_settings;
@@ -92,8 +91,13 @@
     std::optional<BackendAnnouncement>
         m_latest; // of the most recent run; its sequence number never decreases
     TimePoint m_receivedAt {}; // arrival of m_latest
-    std::deque<DepartedRun> m_departed; // at most maxDeparted
-    std::deque<BackendAnnouncement> m_pending; // until the first snapshot; at most maxPending
+    DepartedRuns m_departures;
+    bool m_haveDeparturesChanged = false; // since they were published
+    // Whether the stored departures are known, or the timeout for them has passed; never reset.
+    bool m_areDeparturesKnown = false;
+    std::optional<TimePoint> m_startedAt; // first call of process() or advance()
+    // Until the first snapshot and the stored departures are known; at most maxPending.
+    std::deque<BackendAnnouncement> m_pending;
     std::optional<BackendAnnounced> m_published;
 };
 
--- a/include/camphorreach/store.h
+++ b/include/camphorreach/store.h
@@ -1,6 +1,7 @@
 // Calls to the platform's store, which lists and watches objects by kind.
 #pragma once
 
+#include <camphorreach/departedrun.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/meshconfig.h>
 #include <camphorreach/netaddress.h>
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,11 +23,13 @@
 /// Kinds of objects in the store. `Nodes` is defined and written by this system.
 enum class StoreKind : std::uint8_t { Configuration, Rollouts, Nodes };
 
-/// Registration of a node, with the address at which other nodes reach it.
+/// Registration of a node, with the address at which other nodes reach it, and the departures that
+/// it has acknowledged to its backend servers.
 struct NodeRecord
 {
     InstanceId node;
     NetAddress peer;
+    DepartedRuns departures {};
 
     friend bool operator==(const NodeRecord &, const NodeRecord &) = default;
 };
@@ -47,16 +51,19 @@
     Duration wait {};
 };
 
-/// Creates the record of this node. Refused with Conflict when it exists.
+/// Creates the record of this node. Refused with Conflict, and the current record, when it exists.
 struct StoreRegister
 {
     NodeRecord record;
 };
 
-/// Replaces the record of this node unconditionally.
+/// Replaces the record of this node, on condition that its object version is still \a expected.
+/// Refused with Conflict, and the current record, when it is not. When empty, replaces any version:
+/// for a record whose version cannot be read.
 struct StoreReplace
 {
     NodeRecord record;
+    std::optional<ObjectVersion> expected {};
 };
 
 /// Sets the state of an order, on condition that its object version is still that of `order`.
@@ -113,6 +120,7 @@
     };
 
     Reason reason = Reason::Unavailable;
+    std::optional<StoreEntry> current {}; ///< With Conflict about a record, if it is readable.
 };
 
 /// No readable reply. A write may or may not have taken effect.
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -53,6 +53,7 @@
             [&](StoreReply &reply) { onReply(reply, now, outbox); },
             [&](PeerReceived<CatalogMessage> &received) { onMessage(received, now, outbox); },
             [&](EndpointsChanged &changed) { m_spread.update(*changed.table); },
+            [&](DeparturesChanged &changed) { onDepartures(changed, now); },
         },
         input);
     advance(now, outbox);
@@ -104,7 +105,7 @@
 {
     if (m_registrationCall == reply.id) {
         m_registrationCall.reset();
-        onRegistrationReply(reply.result, now);
+        onRegistrationReply(reply.result, now, outbox);
         return;
     }
     for (Informer *informer : { &m_configInformer, &m_rolloutInformer, &m_nodeInformer }) {
@@ -152,25 +153,65 @@
     informer.freshAsOf = std::max(freshBefore, std::optional(sentAt));
 }
 
-// An existing record is this node's own, left by an earlier run.
-void Catalog::onRegistrationReply(const StoreResult &result, TimePoint now)
+void Catalog::onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox)
 {
-    if (std::holds_alternative<StoreWritten>(result)) {
+    if (const auto *written = std::get_if<StoreWritten>(&result)) {
         m_hasRecord = true;
+        m_recordVersion = written->version;
+        publishRestored(outbox);
+        outbox.emit(DeparturesStored { m_writtenDepartures });
+        if (m_writtenDepartures != m_departures)
+            m_nextRegistration = now;
         return;
     }
     const auto *refusal = std::get_if<StoreRefusal>(&result);
-    if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::Conflict) {
-        m_hasRecord = true; // replaced by the next call
-        m_nextRegistration = now;
-        return;
-    }
+    if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::Conflict)
+        return onRecordConflict(*refusal, now, outbox);
     if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::NotFound)
         m_hasRecord = false;
     ++m_failedCalls;
     m_nextRegistration = now + retryDelay(maxBackoffDoublings);
 }
 
+// An existing record is this node's own, left by an earlier process or written by a call without a
+// reply. Its departures are kept; the next call replaces it.
+void Catalog::onRecordConflict(const StoreRefusal &refusal, TimePoint now, Outbox<Output> &outbox)
+{
+    m_hasRecord = true;
+    m_recordVersion.reset();
+    if (refusal.current) {
+        m_recordVersion = refusal.current->version;
+        if (const auto *record = std::get_if<NodeRecord>(&refusal.current->value))
+            m_departures.add(record->departures);
+    }
+    publishRestored(outbox);
+    m_nextRegistration = now;
+}
+
+void Catalog::publishRestored(Outbox<Output> &outbox)
+{
+    if (!std::exchange(m_areDeparturesRestored, true))
+        outbox.emit(DeparturesRestored { m_departures });
+}
+
+void Catalog::onDepartures(const DeparturesChanged &changed, TimePoint now)
+{
+    if (m_departures.add(changed.departures) && !m_registrationCall)
+        m_nextRegistration = std::min(m_nextRegistration.value_or(now), now);
+}
+
+void Catalog::writeRecord(Outbox<Output> &outbox)
+{
+    m_nextRegistration.reset();
+    m_registrationCall = StoreCallId(m_nextCallId++);
+    m_writtenDepartures = m_departures;
+    const NodeRecord record { m_self.instance, m_self.peer, m_departures };
+    if (m_hasRecord)
+        emitCall(*m_registrationCall, StoreReplace { record, m_recordVersion }, outbox);
+    else
+        emitCall(*m_registrationCall, StoreRegister { record }, outbox);
+}
+
 void Catalog::onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
                         Outbox<Output> &outbox)
 {
@@ -276,8 +317,7 @@
 {
     const bool hearsPeers = now < m_lastPeerMessage + peerTimeout;
     const auto share = hearsPeers ? 1 + m_spread.rank() / watchersPerDomain : 1;
-    informer.nextCall
-        = now + retryDelay(informer.failures) * static_cast<Duration::rep>(share);
+    informer.nextCall = now + retryDelay(informer.failures) * static_cast<Duration::rep>(share);
     informer.failures = std::min(informer.failures + 1, maxBackoffDoublings);
 }
 
@@ -316,15 +356,8 @@
         if (isDue(*informer, now))
             listOrWatch(*informer, now, outbox);
     }
-    if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration) {
-        m_nextRegistration.reset();
-        m_registrationCall = StoreCallId(m_nextCallId++);
-        const NodeRecord record { m_self.instance, m_self.peer };
-        if (m_hasRecord)
-            emitCall(*m_registrationCall, StoreReplace { record }, outbox);
-        else
-            emitCall(*m_registrationCall, StoreRegister { record }, outbox);
-    }
+    if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration)
+        writeRecord(outbox);
     advanceSpread(now, outbox);
 }
 
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -10,10 +10,11 @@
 namespace camphorreach {
 namespace {
 
-constexpr std::size_t maxDeparted = 16; // only one server at a time runs beside a node
 // A node without a configuration receives about one announcement per second, and the latest ones
 // contain the complete state.
 constexpr std::size_t maxPending = 64;
+// A store that works responds within 250 ms, also to a node that has just started.
+constexpr Duration restoreTimeout = std::chrono::seconds(2);
 
 } // namespace
 
@@ -23,6 +24,7 @@
 
 void LocalServer::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
+    advance(now, outbox); // announcements that arrive after the timeout are not held back
     std::visit(Overloaded {
                    [&](BackendAnnouncement &announcement) {
                        onAnnouncement(std::move(announcement), now);
@@ -30,6 +32,7 @@
                    [&](BackendDeparture &departure) { onDeparture(departure); },
                    [&](LocalServerSettings &settings) { m_settings = std::move(settings); },
                    [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now); },
+                   [&](DeparturesRestored &restored) { onDeparturesRestored(restored, now); },
                },
                input);
     publish(now, outbox);
@@ -37,17 +40,19 @@
 
 void LocalServer::onAnnouncement(BackendAnnouncement &&announcement, TimePoint now)
 {
-    if (announcement.address != m_settings.address || hasDeparted(announcement))
+    const DepartedRun run { announcement.server, announcement.startTime };
+    if (announcement.address != m_settings.address || m_departures.contains(run))
         return;
     if (!isKnownService(announcement.service)) {
         // The announcement was acknowledged, so it must be applied once the services are known.
-        if (m_snapshot)
-            return;
-        if (m_pending.size() == maxPending)
-            m_pending.pop_front();
-        m_pending.push_back(std::move(announcement));
+        if (!m_snapshot)
+            holdBack(std::move(announcement));
         return;
     }
+    if (announcement.isDraining)
+        m_haveDeparturesChanged = m_departures.add(run) || m_haveDeparturesChanged;
+    if (!m_areDeparturesKnown)
+        return holdBack(std::move(announcement));
     if (m_latest) {
         const auto order = [](const BackendAnnouncement &item) {
             return std::tie(item.startTime, item.sequence);
@@ -71,20 +76,47 @@
     // departed.
     const BackendStartTime startTime
         = departure.startTime.value_or(isLatest ? m_latest->startTime : departure.receivedAt);
-    m_departed.push_back({ departure.server, startTime });
-    if (m_departed.size() > maxDeparted)
-        m_departed.pop_front();
+    m_haveDeparturesChanged
+        = m_departures.add({ departure.server, startTime }) || m_haveDeparturesChanged;
     if (isLatest)
         m_latest->isDraining = true;
 }
 
-void LocalServer::onSnapshot(SnapshotChanged &&changed, TimePoint now)
+void LocalServer::onDeparturesRestored(const DeparturesRestored &restored, TimePoint now)
+{
+    m_departures.add(restored.departures);
+    if (m_latest && m_departures.contains({ m_latest->server, m_latest->startTime }))
+        m_latest->isDraining = true;
+    m_areDeparturesKnown = true;
+    releasePending(now);
+}
+
+// What arrived until now may have been sent before the restart, by a server that has departed.
+void LocalServer::onRestoreTimeout()
+{
+    m_areDeparturesKnown = true;
+    m_pending.clear();
+}
+
+void LocalServer::holdBack(BackendAnnouncement &&announcement)
+{
+    if (m_pending.size() == maxPending)
+        m_pending.pop_front();
+    m_pending.push_back(std::move(announcement));
+}
+
+void LocalServer::releasePending(TimePoint now)
 {
-    m_snapshot = std::move(changed.snapshot);
     for (BackendAnnouncement &announcement : std::exchange(m_pending, {}))
         onAnnouncement(std::move(announcement), now);
 }
 
+void LocalServer::onSnapshot(SnapshotChanged &&changed, TimePoint now)
+{
+    m_snapshot = std::move(changed.snapshot);
+    releasePending(now);
+}
+
 // Other processes can send announcements too, with a service that is not configured.
 bool LocalServer::isKnownService(const ServiceName &service) const
 {
@@ -92,16 +124,10 @@
         || (m_snapshot && m_snapshot->findService(service) != nullptr);
 }
 
-bool LocalServer::hasDeparted(const BackendAnnouncement &announcement) const
-{
-    return std::ranges::any_of(m_departed, [&](const DepartedRun &departed) {
-        return departed.server == announcement.server
-            && announcement.startTime <= departed.startTime;
-    });
-}
-
 void LocalServer::publish(TimePoint now, Outbox<Output> &outbox)
 {
+    if (std::exchange(m_haveDeparturesChanged, false))
+        outbox.emit(DeparturesChanged { m_departures });
     if (!m_latest)
         return;
     const bool isTimedOut = now - m_receivedAt >= m_heartbeatTimeout;
@@ -123,11 +149,17 @@
 
 void LocalServer::advance(TimePoint now, Outbox<Output> &outbox)
 {
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (!m_areDeparturesKnown && now >= *m_startedAt + restoreTimeout)
+        onRestoreTimeout();
     publish(now, outbox);
 }
 
 std::optional<TimePoint> LocalServer::nextDeadline() const
 {
+    if (!m_areDeparturesKnown)
+        return m_startedAt.value_or(TimePoint {}) + restoreTimeout;
     if (!m_published || !m_published->isAccepting)
         return std::nullopt;
     return m_receivedAt + m_heartbeatTimeout;
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -84,6 +84,8 @@
                            [&](OrdersChanged &changed) { orders = changed.orders; },
                            [&](JoinPeers &join) { joined = join.peers; },
                            [&](ConfigurationReceived &event) { received.push_back(event); },
+                           [&](DeparturesRestored &event) { restored = event.departures; },
+                           [&](DeparturesStored &event) { stored = event.departures; },
                        },
                        output);
         }
@@ -127,6 +129,8 @@
     std::vector<RolloutOrder> orders;
     std::vector<NetAddress> joined;
     std::vector<ConfigurationReceived> received;
+    std::optional<DepartedRuns> restored;
+    DepartedRuns stored;
 };
 
 // Guards against a node that lists the store repeatedly, or misses changes after the list.
@@ -297,6 +301,82 @@
     CHECK(joined == std::vector<NetAddress> { { "127.0.0.1", 2 } });
 }
 
+class CatalogDepartureFixture : protected CatalogFixture
+{
+protected:
+    static DepartedRuns runs(const std::string &server, std::int64_t startTime)
+    {
+        DepartedRuns result;
+        result.add({ InstanceId(server), BackendStartTime(startTime) });
+        return result;
+    }
+    static StoreRefusal conflict(const DepartedRuns &departures, std::uint64_t at)
+    {
+        const NodeRecord record { InstanceId("a"), { "127.0.0.1", 1 }, departures };
+        return { StoreRefusal::Reason::Conflict,
+                 StoreEntry { "a", ObjectVersion(at), false, record } };
+    }
+    template <typename Operation>
+    [[nodiscard]] const StoreCall &lastWrite() const
+    {
+        const auto found = std::find_if(calls.rbegin(), calls.rend(), [](const StoreCall &call) {
+            return std::holds_alternative<Operation>(call.operation);
+        });
+        REQUIRE(found != calls.rend());
+        return *found;
+    }
+    [[nodiscard]] StoreReplace lastReplace() const
+    {
+        return std::get<StoreReplace>(lastWrite<StoreReplace>().operation);
+    }
+};
+
+// Guards against departures that are forgotten when the process of the node is killed (review/4).
+TEST_CASE_METHOD(CatalogDepartureFixture, "Catalog_recordOfEarlierProcess_departuresAreRestored")
+{
+    CHECK_FALSE(restored);
+    process(StoreReply { lastWrite<StoreRegister>().id, conflict(runs("i-1", 100), 40) });
+    REQUIRE(restored);
+    CHECK(*restored == runs("i-1", 100));
+    CHECK(lastReplace().record.departures == runs("i-1", 100));
+    CHECK(lastReplace().expected == ObjectVersion(40));
+}
+
+TEST_CASE_METHOD(CatalogDepartureFixture, "Catalog_noRecord_noDeparturesAreRestored")
+{
+    process(StoreReply { lastWrite<StoreRegister>().id, StoreWritten { ObjectVersion(40) } });
+    REQUIRE(restored);
+    CHECK(restored->runs().empty());
+}
+
+// Guards against a departure that is acknowledged before the store holds it, or never written.
+TEST_CASE_METHOD(CatalogDepartureFixture, "Catalog_departureWhileRegistering_isStoredNext")
+{
+    process(DeparturesChanged { runs("i-1", 100) });
+    process(StoreReply { lastWrite<StoreRegister>().id, StoreWritten { ObjectVersion(40) } });
+    CHECK(stored.runs().empty());
+    CHECK(lastReplace().expected == ObjectVersion(40));
+    process(StoreReply { lastWrite<StoreReplace>().id, StoreNoReply { true } });
+    CHECK(stored.runs().empty());
+    advance(seconds(2));
+    process(StoreReply { lastWrite<StoreReplace>().id, conflict(runs("i-1", 100), 41) });
+    CHECK(lastReplace().expected == ObjectVersion(41));
+    process(StoreReply { lastWrite<StoreReplace>().id, StoreWritten { ObjectVersion(41) } });
+    CHECK(stored == runs("i-1", 100));
+}
+
+// Guards against a process that overwrites what another one of the same node has stored.
+TEST_CASE_METHOD(CatalogDepartureFixture, "Catalog_recordChangedMeanwhile_departuresAreMerged")
+{
+    process(StoreReply { lastWrite<StoreRegister>().id, StoreWritten { ObjectVersion(40) } });
+    process(DeparturesChanged { runs("i-2", 200) });
+    process(StoreReply { lastWrite<StoreReplace>().id, conflict(runs("i-1", 100), 45) });
+    DepartedRuns both = runs("i-2", 200);
+    both.add(runs("i-1", 100));
+    CHECK(lastReplace().record.departures == both);
+    CHECK(lastReplace().expected == ObjectVersion(45));
+}
+
 // Guards against a node that reads the same page repeatedly because its last entry has no readable
 // name.
 TEST_CASE_METHOD(CatalogFixture, "Catalog_pageEndsWithUnnamedEntry_listContinues")
--- a/tests/configdelaytest.cpp
+++ b/tests/configdelaytest.cpp
@@ -97,7 +97,8 @@
 
 // Guards against nodes that wait for watches that a store has taken without responding, after it is
 // back: 3 s later they count as connected, and must hold what has been stored meanwhile.
-TEST_CASE_METHOD(SmallDomainFixture, "CatalogWorld_storeRespondsAgain_changeIsActiveWithinThreeSeconds")
+TEST_CASE_METHOD(SmallDomainFixture,
+                 "CatalogWorld_storeRespondsAgain_changeIsActiveWithinThreeSeconds")
 {
     for (int outage = 1; outage < 20; ++outage) {
         world.publish(); // ends the watches of all nodes at the same moment
@@ -123,9 +124,9 @@
     CHECK(world.hasConverged());
 }
 
-// Guards against calls to a store that does not respond, or is back, by all nodes of a large failure
-// domain at once. Each of the 280 nodes tries once to take over from the watchers within 40 s; the
-// rate of the others' further calls is that of some 16 nodes.
+// Guards against calls to a store that does not respond, or is back, by all nodes of a large
+// failure domain at once. Each of the 280 nodes tries once to take over from the watchers within 40
+// s; the rate of the others' further calls is that of some 16 nodes.
 TEST_CASE("CatalogWorld_largeDomainAndSilentStore_callsDoNotGrowWithNodes")
 {
     CatalogWorld world { { .nodes = 280, .routes = 10 } };
@@ -144,7 +145,8 @@
 }
 
 // Guards against a number of store calls that grows with the number of nodes. Expected are two
-// watches of 1.6 s at each of three nodes, and a few more for nodes whose copy is briefly too stale.
+// watches of 1.6 s at each of three nodes, and a few more for nodes whose copy is briefly too
+// stale.
 TEST_CASE_METHOD(LargeConfigFixture, "CatalogWorld_noChanges_onlyWatchersCallTheStore")
 {
     world.run(seconds(10));
--- a/tests/localservertest.cpp
+++ b/tests/localservertest.cpp
@@ -3,6 +3,8 @@
 #include <camphorreach/result.h>
 
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <string>
 
 namespace camphorreach {
 namespace {
@@ -48,18 +50,41 @@
     void collect(Outbox<LocalServer::Output> &outbox)
     {
         for (auto &output : outbox.take()) {
+            if (auto *changed = std::get_if<DeparturesChanged>(&output)) {
+                departures = changed->departures;
+                continue;
+            }
             latest = std::get<BackendAnnounced>(output);
             ++published;
         }
     }
     [[nodiscard]] bool isAccepting() const { return latest && latest->isAccepting; }
 
+    // A process that is the first one of its node, or has read what earlier ones stored.
+    LocalServerFixture() { process(DeparturesRestored {}); }
+    explicit LocalServerFixture(std::nullptr_t) { advance({}); }
+
     LocalServer local { { { "127.0.0.1", 80 }, ServiceName("orders") }, seconds(6) };
     TimePoint now { seconds(100) };
     std::optional<BackendAnnounced> latest;
+    DepartedRuns departures;
     int published = 0;
 };
 
+// A process that has not yet read what earlier processes of its node stored.
+class RestartedLocalServerFixture : protected LocalServerFixture
+{
+protected:
+    RestartedLocalServerFixture() : LocalServerFixture(nullptr) { }
+
+    static DeparturesRestored restored(std::int64_t startTime)
+    {
+        DeparturesRestored result;
+        result.departures.add({ InstanceId("i-1"), BackendStartTime(startTime) });
+        return result;
+    }
+};
+
 // Guards against requests to a draining server whose state was lost in a restart of the node.
 TEST_CASE_METHOD(LocalServerFixture, "LocalServer_beforeTheFirstAnnouncement_publishesNothing")
 {
@@ -176,5 +201,67 @@
     CHECK_FALSE(isAccepting());
 }
 
+// Guards against a node that forgets a departure that it has acknowledged when it is killed, and
+// accepts requests again after a heartbeat that was sent before (review/4).
+TEST_CASE_METHOD(RestartedLocalServerFixture, "LocalServer_lateHeartbeatAfterRestart_isNotAccepted")
+{
+    process(announcement(3));
+    CHECK_FALSE(latest);
+    process(restored(100));
+    process(announcement(4));
+    advance(seconds(10));
+    process(announcement(5));
+    CHECK_FALSE(latest);
+    process(announcement(1, 200));
+    CHECK(isAccepting());
+}
+
+// Guards against a node that drops heartbeats which it has acknowledged before it knew what earlier
+// processes had stored.
+TEST_CASE_METHOD(RestartedLocalServerFixture, "LocalServer_departuresRestored_heldHeartbeatApplies")
+{
+    process(announcement(3, 101));
+    CHECK_FALSE(latest);
+    process(restored(100));
+    CHECK(isAccepting());
+}
+
+// Guards against a backend server that gets no requests for as long as the store is away, and
+// against late heartbeats that are accepted meanwhile.
+TEST_CASE_METHOD(RestartedLocalServerFixture,
+                 "LocalServer_storeAway_onlyLaterHeartbeatsAreAccepted")
+{
+    process(announcement(3));
+    advance(seconds(2));
+    CHECK_FALSE(latest);
+    process(announcement(4));
+    CHECK(isAccepting());
+    process(restored(100));
+    CHECK_FALSE(isAccepting());
+}
+
+// Guards against departures that only this process knows.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_serverLeaves_departureIsPublished")
+{
+    process(announcement(1));
+    CHECK(departures.runs().empty());
+    process(draining(2));
+    CHECK(departures.contains({ InstanceId("i-1"), BackendStartTime(100) }));
+    process(BackendDeparture { InstanceId("i-2"), BackendStartTime(300) });
+    CHECK(departures.contains({ InstanceId("i-2"), BackendStartTime(300) }));
+    CHECK(departures.runs().size() == 2);
+}
+
+// Guards against a set that grows with every server that has run beside a node.
+TEST_CASE("DepartedRuns_manyServers_latestAreKept")
+{
+    DepartedRuns departures;
+    for (std::int64_t i = 0; i < 100; ++i)
+        CHECK(departures.add({ InstanceId("i-" + std::to_string(i)), BackendStartTime(i) }));
+    CHECK(departures.runs().size() == DepartedRuns::maxRuns);
+    CHECK(departures.contains({ InstanceId("i-99"), BackendStartTime(98) }));
+    CHECK_FALSE(departures.contains({ InstanceId("i-99"), BackendStartTime(100) }));
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -322,6 +322,32 @@
     CHECK(platform::StoreCodec().limits().replyBytes > 2 * 1024 * 1024);
 }
 
+// Guards against departures that get lost in the record of a node, and against a record without
+// them, or of another writer, that cannot be replaced.
+TEST_CASE_METHOD(PlatformFixture, "Platform_recordExists_refusalHasItsVersionAndDepartures")
+{
+    NodeRecord record { InstanceId("n-1"), { "10.1.0.2", 700 } };
+    record.departures.add({ InstanceId("i-1"), BackendStartTime(1'700'000'000'000) });
+    const HttpRequest request = platform::StoreCodec().toHttp(
+        { StoreCallId(1), StoreReplace { record, ObjectVersion(7) } });
+    const std::string metadata = R"({"metadata":{"name":"n-1","revision":7},"spec":)";
+    REQUIRE(request.body.starts_with(metadata));
+    const auto refusalOf = [](const std::string &body) {
+        return std::get<StoreRefusal>(reply(StoreRegister {}, 409, body));
+    };
+    const StoreRefusal refusal = refusalOf(request.body);
+    REQUIRE(refusal.current);
+    CHECK(refusal.current->version == ObjectVersion(7));
+    CHECK(std::get<NodeRecord>(refusal.current->value) == record);
+    const auto older = refusalOf(metadata + R"({"peer":"10.1.0.2:700"}})");
+    CHECK(std::get<NodeRecord>(older.current->value).departures.runs().empty());
+    const auto invalid = refusalOf(metadata + R"({"peer":"10.1.0.2:700","departures":[7]}})");
+    REQUIRE(invalid.current);
+    CHECK(invalid.current->version == ObjectVersion(7));
+    CHECK(std::holds_alternative<std::monostate>(invalid.current->value));
+    CHECK_FALSE(refusalOf("no JSON").current);
+}
+
 TEST_CASE_METHOD(PlatformFixture, "Platform_heartbeat_isDecoded")
 {
     const auto message = decodeAnnouncement(R"({"address":"10.0.0.9:80","born":1700,"server_info":
