Take the service of the machine from whatever named it last

Seen by callers: the upstream of a machine was replaced by one of another service.

Cause: the caller was set from the settings at the start, and from then on only by announcements. A reload did not touch it, and nothing ended what an announcement of a server that was gone had said.

Change: the filter of the local server decides which service the machine runs: the one that was named last. A change of the settings applies at once and closes the gate of the server that was announced before. Announcements of another service, by a server that started before the settings were read, are out of date until the heartbeat timeout has passed, so that neither a late heartbeat brings the old service back, also not after a restart, nor do late settings hide a running server for good.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -55,6 +55,12 @@
 [[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
+/// The settings of the backend server, with the current time as that of reading.
+[[nodiscard]] inline LocalServerSettings readNow(LocalServerSettings settings)
+{
+    settings.readAt = BackendStartTime(wallTimeNow().value());
+    return settings;
+}
 /// Formats the event as a log line.
 [[nodiscard]] std::string toText(const ConfigurationReceived &received);
 
@@ -155,7 +161,7 @@
           [this](Rollouts::Output &&output) { onRolloutsOutput(std::move(output)); },
           controlCapacity, controlReserve),
       m_localServer(
-          std::make_unique<LocalServer>(settings.backendServer,
+          std::make_unique<LocalServer>(readNow(settings.backendServer),
                                         missedHeartbeats * settings.heartbeat),
           [this](LocalServer::Output &&output) { onLocalServerOutput(std::move(output)); },
           controlCapacity, controlReserve),
@@ -271,6 +277,11 @@
     std::visit(
         Overloaded {
             [this](BackendAnnounced &announced) { onBackendAnnounced(std::move(announced)); },
+            [this](LocalServiceChanged &changed) {
+                m_log.info("event=local-service-changed service=" + changed.service.value());
+                const std::lock_guard lock(m_callerMutex);
+                m_caller = std::move(changed.service);
+            },
             // From the reserve, as the catalog's thread waits for this one's ring.
             [this](DeparturesChanged &changed) {
                 (void)m_catalog.ring().pushReserved(std::move(changed));
@@ -285,10 +296,6 @@
     m_log.info("event=backend-announced server=" + announced.server.value()
                + " service=" + announced.service.value() + " version=" + announced.version.value()
                + " accepting=" + (announced.isAccepting ? "1" : "0"));
-    {
-        const std::lock_guard lock(m_callerMutex);
-        m_caller = announced.service;
-    }
     m_path.membership().ring().push(SelfChanged { announced.service, announced.version,
                                                   announced.slots, announced.isAccepting });
     m_path.gate().ring().push(std::move(announced));
@@ -387,7 +394,7 @@
 void MeshNode<Dialect>::reload(const SidecarSettings &settings)
 {
     m_log.info("event=settings-reloaded service=" + settings.backendServer.service.value());
-    m_localServer.ring().push(settings.backendServer);
+    m_localServer.ring().push(readNow(settings.backendServer));
 }
 
 template <PlatformDialect Dialect>
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -50,6 +50,14 @@
 {
     NetAddress address;
     ServiceName service;
+    /// When the settings were read, by the clock that also gives the start time of backend servers.
+    BackendStartTime readAt {};
+};
+
+/// Another service runs on the machine: that from which its clients' requests originate.
+struct LocalServiceChanged
+{
+    ServiceName service;
 };
 
 /// Orders announcements by run and sequence number, so that late ones have no effect, and decides
@@ -60,12 +68,17 @@
 /// announcements are held back until the departures that earlier processes have stored are known.
 /// While the store cannot be read, announcements are accepted that arrive later than a timeout
 /// after the start, when those that were sent before the restart should have arrived.
+///
+/// The service of the machine is the one that was stated last, by the settings or by a backend
+/// server. When the settings name a service, an announcement of another one by a server that
+/// started before they were read is out of date; after the heartbeat timeout such a server is
+/// believed, as it is still there.
 class LocalServer
 {
 public:
     using Input = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings,
                                SnapshotChanged, DeparturesRestored>;
-    using Output = std::variant<BackendAnnounced, DeparturesChanged>;
+    using Output = std::variant<BackendAnnounced, DeparturesChanged, LocalServiceChanged>;
 
     /// The backend server is considered gone after \a heartbeatTimeout without an announcement.
     LocalServer(LocalServerSettings settings, Duration heartbeatTimeout);
@@ -77,19 +90,25 @@
 private:
     void onAnnouncement(BackendAnnouncement &&announcement, TimePoint now);
     void onDeparture(const BackendDeparture &departure);
+    void onSettings(LocalServerSettings &&settings, TimePoint now);
     void onSnapshot(SnapshotChanged &&changed, TimePoint now);
     void onDeparturesRestored(const DeparturesRestored &restored, TimePoint now);
     void onRestoreTimeout();
     void holdBack(BackendAnnouncement &&announcement);
     void releasePending(TimePoint now);
     [[nodiscard]] bool isKnownService(const ServiceName &service) const;
+    [[nodiscard]] bool isOutOfDate(const BackendAnnouncement &announcement, TimePoint now) const;
     void publish(TimePoint now, Outbox<Output> &outbox);
 
     LocalServerSettings m_settings;
+    std::optional<TimePoint> m_serviceNamedAt; // when the settings last named another service
+    ServiceName m_service; // of the machine
+    ServiceName m_publishedService;
     std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
     const Duration m_heartbeatTimeout;
     std::optional<BackendAnnouncement>
         m_latest; // of the most recent run; its sequence number never decreases
+    bool m_isLatestReplaced = false; // the settings have named another service since
     TimePoint m_receivedAt {}; // arrival of m_latest
     DepartedRuns m_departures;
     bool m_haveDeparturesChanged = false; // since they were published
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 LocalServer::LocalServer(LocalServerSettings settings, Duration heartbeatTimeout)
-    : m_settings(std::move(settings)), m_heartbeatTimeout(heartbeatTimeout)
+    : m_settings(std::move(settings)), m_service(m_settings.service),
+      m_publishedService(m_settings.service), m_heartbeatTimeout(heartbeatTimeout)
 { }
 
 void LocalServer::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -30,7 +31,7 @@
                        onAnnouncement(std::move(announcement), now);
                    },
                    [&](BackendDeparture &departure) { onDeparture(departure); },
-                   [&](LocalServerSettings &settings) { m_settings = std::move(settings); },
+                   [&](LocalServerSettings &settings) { onSettings(std::move(settings), now); },
                    [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now); },
                    [&](DeparturesRestored &restored) { onDeparturesRestored(restored, now); },
                },
@@ -41,7 +42,8 @@
 void LocalServer::onAnnouncement(BackendAnnouncement &&announcement, TimePoint now)
 {
     const DepartedRun run { announcement.server, announcement.startTime };
-    if (announcement.address != m_settings.address || m_departures.contains(run))
+    if (announcement.address != m_settings.address || m_departures.contains(run)
+        || isOutOfDate(announcement, now))
         return;
     if (!isKnownService(announcement.service)) {
         // The announcement was acknowledged, so it must be applied once the services are known.
@@ -64,9 +66,33 @@
         announcement.isDraining |= isSameRun && m_latest->isDraining;
     }
     m_latest = std::move(announcement);
+    m_isLatestReplaced = false;
+    m_service = m_latest->service;
     m_receivedAt = now;
 }
 
+// The server that was announced before no longer runs, or the settings would still name its
+// service.
+void LocalServer::onSettings(LocalServerSettings &&settings, TimePoint now)
+{
+    const bool isOtherService = settings.service != m_settings.service;
+    m_settings = std::move(settings);
+    if (!isOtherService)
+        return;
+    m_serviceNamedAt = now;
+    m_service = m_settings.service;
+    m_isLatestReplaced = m_latest && m_latest->service != m_settings.service;
+    if (m_isLatestReplaced)
+        m_settings.readAt = std::max(m_settings.readAt, m_latest->startTime);
+}
+
+bool LocalServer::isOutOfDate(const BackendAnnouncement &announcement, TimePoint now) const
+{
+    return announcement.service != m_settings.service && m_serviceNamedAt
+        && announcement.startTime <= m_settings.readAt
+        && now < *m_serviceNamedAt + m_heartbeatTimeout;
+}
+
 void LocalServer::onDeparture(const BackendDeparture &departure)
 {
     const bool isLatest = m_latest && m_latest->server == departure.server
@@ -128,6 +154,10 @@
 {
     if (std::exchange(m_haveDeparturesChanged, false))
         outbox.emit(DeparturesChanged { m_departures });
+    if (m_service != m_publishedService) {
+        m_publishedService = m_service;
+        outbox.emit(LocalServiceChanged { m_service });
+    }
     if (!m_latest)
         return;
     const bool isTimedOut = now - m_receivedAt >= m_heartbeatTimeout;
@@ -135,7 +165,7 @@
                                  m_latest->service,
                                  m_latest->version,
                                  m_latest->slots,
-                                 !m_latest->isDraining && !isTimedOut,
+                                 !m_latest->isDraining && !m_isLatestReplaced && !isTimedOut,
                                  m_latest->warmUpLeft };
     // The remaining warm-up time shrinks with every announcement; only its start is a change.
     if (m_published && announced.warmUpLeft > Duration::zero()
@@ -150,7 +180,7 @@
 void LocalServer::advance(TimePoint now, Outbox<Output> &outbox)
 {
     if (!m_startedAt)
-        m_startedAt = now;
+        m_startedAt = m_serviceNamedAt = now;
     if (!m_areDeparturesKnown && now >= *m_startedAt + restoreTimeout)
         onRestoreTimeout();
     publish(now, outbox);
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -36,23 +36,41 @@
 {
     if (request.target.find("watch=") != std::string::npos)
         return std::nullopt; // nothing changes
-    if (request.method == "POST") {
-        const auto body = boost::json::parse(request.body).as_object();
-        m_nodes.push_back(
-            R"({"metadata":{"name":)" + boost::json::serialize(body.at("metadata").at("name"))
-            + R"(,"revision":3},"spec":)" + boost::json::serialize(body.at("spec")) + "}");
-        return HttpResponse { 201, {}, m_nodes.back() };
-    }
+    if (request.method == "POST" || request.method == "PUT")
+        return write(request);
     std::string items;
     if (request.target.find("/config") != std::string::npos) {
         items = configItem;
     } else if (request.target.find("nodes") != std::string::npos) {
-        for (const std::string &node : m_nodes)
-            items += (items.empty() ? "" : ",") + node;
+        for (const auto &[name, node] : m_nodes)
+            items += (items.empty() ? "" : ",") + boost::json::serialize(node);
     }
     return HttpResponse { 200, {}, R"({"items":[)" + items + R"(],"has_more":false,"at_rev":5})" };
 }
 
+// Creates, or replaces on condition of the revision, the record of a node.
+HttpResponse FakeStore::write(const HttpRequest &request)
+{
+    const auto body = boost::json::parse(request.body).as_object();
+    const boost::json::object &metadata = body.at("metadata").as_object();
+    const std::string name(metadata.at("name").as_string());
+    const auto found = m_nodes.find(name);
+    if (request.method == "PUT" && found == m_nodes.end())
+        return { 404, {}, "{}" };
+    if (found != m_nodes.end()) {
+        const auto &current = found->second.at("metadata").at("revision");
+        const auto *expected = metadata.if_contains("revision");
+        if (request.method == "POST" || (expected != nullptr && *expected != current))
+            return { 409, {}, boost::json::serialize(found->second) };
+    }
+    boost::json::object &node = m_nodes[name];
+    node["metadata"] = { { "name", name }, { "revision", ++m_revision } };
+    node["spec"] = body.at("spec");
+    return { static_cast<std::uint16_t>(request.method == "POST" ? 201 : 200),
+             {},
+             boost::json::serialize(node) };
+}
+
 HttpResponse callOnce(impl::IoThread &client, const NetAddress &to, HttpRequest request)
 {
     std::promise<impl::HttpResult> done;
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -5,10 +5,11 @@
 
 #include <camphorreach/impl/httpclient.h>
 
+#include <boost/json/object.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace camphorreach {
 
@@ -24,7 +25,11 @@
 private:
     [[nodiscard]] std::optional<impl::HttpResponse> respond(const impl::HttpRequest &request);
 
-    std::vector<std::string> m_nodes; // node records as JSON; used by the server's thread
+    [[nodiscard]] impl::HttpResponse write(const impl::HttpRequest &request);
+
+    // Node records by name, with the revision of the latest; both used by the server's thread.
+    std::map<std::string, boost::json::object> m_nodes;
+    std::uint64_t m_revision = 2;
     LoopbackServer m_server;
 };
 
--- a/tests/localservertest.cpp
+++ b/tests/localservertest.cpp
@@ -54,6 +54,10 @@
                 departures = changed->departures;
                 continue;
             }
+            if (auto *changed = std::get_if<LocalServiceChanged>(&output)) {
+                service = changed->service;
+                continue;
+            }
             latest = std::get<BackendAnnounced>(output);
             ++published;
         }
@@ -68,6 +72,7 @@
     TimePoint now { seconds(100) };
     std::optional<BackendAnnounced> latest;
     DepartedRuns departures;
+    ServiceName service { "orders" }; // of the machine
     int published = 0;
 };
 
@@ -252,6 +257,82 @@
     CHECK(departures.runs().size() == 2);
 }
 
+// The settings name another service than that of the server that was announced before.
+class ReplacedServerFixture : protected LocalServerFixture
+{
+protected:
+    ReplacedServerFixture()
+    {
+        process(announcement(1));
+        auto snapshot = std::make_shared<Snapshot>();
+        snapshot->services[ServiceName("orders")] = {};
+        snapshot->services[ServiceName("trucks")] = {};
+        process(SnapshotChanged { snapshot });
+        process(settings("trucks", 500));
+    }
+
+    static LocalServerSettings settings(const std::string &name, std::int64_t readAt)
+    {
+        return { { "127.0.0.1", 80 }, ServiceName(name), BackendStartTime(readAt) };
+    }
+    static BackendAnnouncement truckAnnouncement(std::uint64_t sequence, std::int64_t startTime)
+    {
+        BackendAnnouncement result = announcement(sequence, startTime);
+        result.server = InstanceId("i-2");
+        result.service = ServiceName("trucks");
+        return result;
+    }
+};
+
+// Guards against requests with the service of a server that has ended as their caller, until the
+// first heartbeat of the next server (review/3), and against requests to the one that has ended.
+TEST_CASE_METHOD(ReplacedServerFixture, "LocalServer_settingsNameOtherService_isServiceAtOnce")
+{
+    CHECK(service == ServiceName("trucks"));
+    CHECK_FALSE(isAccepting());
+    process(truckAnnouncement(1, 490));
+    CHECK(isAccepting());
+    CHECK(service == ServiceName("trucks"));
+}
+
+// Guards against a late heartbeat that brings the service of a server that has ended back.
+TEST_CASE_METHOD(ReplacedServerFixture, "LocalServer_lateHeartbeatOfOtherService_isIgnored")
+{
+    process(announcement(2));
+    process(announcement(1, 450));
+    CHECK(service == ServiceName("trucks"));
+    CHECK_FALSE(isAccepting());
+}
+
+// Guards against settings that hide a server which was announced before they were changed for it,
+// or which started after they were.
+TEST_CASE_METHOD(ReplacedServerFixture, "LocalServer_serverStartsAfterSettings_isBelieved")
+{
+    process(announcement(1, 600));
+    CHECK(service == ServiceName("orders"));
+    CHECK(isAccepting());
+    process(settings("trucks", 700));
+    CHECK(service == ServiceName("orders")); // not changed by settings that name the same as before
+    CHECK(isAccepting());
+}
+
+// Guards against a running server that gets no requests for good because settings were late.
+TEST_CASE_METHOD(ReplacedServerFixture, "LocalServer_serverStaysAfterTimeout_isBelieved")
+{
+    advance(seconds(6));
+    process(announcement(5));
+    CHECK(service == ServiceName("orders"));
+    CHECK(isAccepting());
+}
+
+TEST_CASE_METHOD(ReplacedServerFixture, "LocalServer_settingsNameServiceOfRunningServer_isAccepted")
+{
+    process(settings("orders", 600));
+    process(announcement(2));
+    CHECK(service == ServiceName("orders"));
+    CHECK(isAccepting());
+}
+
 // Guards against a set that grows with every server that has run beside a node.
 TEST_CASE("DepartedRuns_manyServers_latestAreKept")
 {
--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -72,6 +72,8 @@
                 [self](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
                     ++self->runs;
                     HttpResponse response = signedResponse(request);
+                    if (numberIn(request.target, "caller") != 0)
+                        response.body = request.header("X-Camphorreach-Caller-Service");
                     response.body.append(numberIn(request.target, "pad"), 'x');
                     const std::size_t delay = numberIn(request.target, "delay");
                     if (delay == 0)
@@ -209,6 +211,47 @@
     CHECK(sidecars[0]->runs == before);
 }
 
+// Guards against a node that is killed after it has acknowledged a departure, and then believes a
+// heartbeat that was sent before (review/4).
+TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_killedAfterDeparture_lateHeartbeatIsNotBelieved")
+{
+    REQUIRE(announce(0, 1, "ready").status == 200);
+    (void)requestUntil(200, 1, "/bags/1");
+    REQUIRE(announce(0, 3, "draining").status == 200);
+    sidecars[0]->node = nullptr;
+    sidecars[0]->node = std::make_unique<impl::MeshNode<Platform>>(sidecars[0]->settings);
+    sidecars[0]->node->start();
+    REQUIRE(announce(0, 2, "ready").status == 200);
+    const int before = sidecars[0]->runs;
+    for (int i = 0; i < 100; ++i) {
+        CHECK(sendRequest(static_cast<std::size_t>(i % 2), "POST", "/bags/2").status == 503);
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(sidecars[0]->runs == before);
+}
+
+// Guards against requests with the service of a server that has ended as their caller, until the
+// next server has sent a heartbeat (review/3).
+TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_settingsNameOtherService_callerIsThatService")
+{
+    REQUIRE(announce(0, 1, "ready").status == 200);
+    REQUIRE(announce(1, 1, "ready").status == 200);
+    (void)requestUntil(200, 0, "/bags/1");
+    CHECK(sendRequest(0, "POST", "/bags/1?caller=1").body == "orders");
+    SidecarSettings settings = sidecars[0]->settings;
+    settings.backendServer.service = ServiceName("trucks");
+    sidecars[0]->node->reload(settings);
+    HttpResponse response;
+    for (int i = 0; i < 100 && response.body != "trucks"; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        response = sendRequest(0, "POST", "/bags/1?caller=1");
+    }
+    CHECK(response.body == "trucks");
+    REQUIRE(announce(0, 2, "ready").status == 200); // late, of the server that has ended
+    for (int i = 0; i < 20; ++i)
+        CHECK(sendRequest(0, "POST", "/bags/2?caller=1").body == "trucks");
+}
+
 // Guards against a planned stop that interrupts requests or leaves the node ready.
 TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_stopRequested_keepsServingWhileNotReady")
 {
