Count a departure as stored only when the store holds it

The departures that a node restored included its own, which were yet to be written, so a departure during the registration of a node could be acknowledged before it was stored. A conflict now reports those of the record that came with it. Checked in Catalog_recordChangedMeanwhile_departuresAreMerged.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -56,11 +56,7 @@
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
 /// The settings of the backend server, with the current time as that of reading.
-[[nodiscard]] inline LocalServerSettings readNow(LocalServerSettings settings)
-{
-    settings.readAt = BackendStartTime(wallTimeNow().value());
-    return settings;
-}
+[[nodiscard]] LocalServerSettings readNow(LocalServerSettings settings);
 /// Formats the event as a log line.
 [[nodiscard]] std::string toText(const ConfigurationReceived &received);
 
@@ -247,7 +243,6 @@
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
             [this](DeparturesRestored &restored) {
-                m_storedDepartures.update(restored.departures);
                 m_localServer.ring().push(std::move(restored));
             },
             [this](const DeparturesStored &stored) {
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -181,8 +181,10 @@
     m_recordVersion.reset();
     if (refusal.current) {
         m_recordVersion = refusal.current->version;
-        if (const auto *record = std::get_if<NodeRecord>(&refusal.current->value))
+        if (const auto *record = std::get_if<NodeRecord>(&refusal.current->value)) {
             m_departures.add(record->departures);
+            outbox.emit(DeparturesStored { record->departures });
+        }
     }
     publishRestored(outbox);
     m_nextRegistration = now;
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -34,6 +34,12 @@
     return self;
 }
 
+LocalServerSettings readNow(LocalServerSettings settings)
+{
+    settings.readAt = BackendStartTime(wallTimeNow().value());
+    return settings;
+}
+
 ByteRate usableEgress(const SidecarSettings &settings)
 {
     return ByteRate(
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -371,6 +371,7 @@
     process(StoreReply { lastWrite<StoreRegister>().id, StoreWritten { ObjectVersion(40) } });
     process(DeparturesChanged { runs("i-2", 200) });
     process(StoreReply { lastWrite<StoreReplace>().id, conflict(runs("i-1", 100), 45) });
+    CHECK(stored == runs("i-1", 100)); // not the one that was to be written
     DepartedRuns both = runs("i-2", 200);
     both.add(runs("i-1", 100));
     CHECK(lastReplace().record.departures == both);
