Send calls to the address of the backend server that a reload brings

What callers saw: after the settings had named another address of the backend server, the node admitted requests as soon as the new server announced itself, and refused or lost all of them: calls and the monitor still went to the former address.

Cause: MeshNode::reload passed the new address to LocalServer only.

Evidence: MeshNode_settingsNameOtherAddress_requestsReachThatAddress failed without the call in reload ("not run: no-endpoint" after 4 s), and passes with it.

Change: BackendAddressChanged reaches the backend endpoint by its ring; HttpClient opens new connections to the new address, does not reuse those to the former one, and lets calls on them end; the monitor starts anew, and completions of its former connection are ignored.

--- a/include/camphorreach/impl/backendendpoint.h
+++ b/include/camphorreach/impl/backendendpoint.h
@@ -18,7 +18,13 @@
 
 namespace camphorreach::impl {
 
-using BackendCommand = std::variant<BackendCall, BackendCancel>;
+/// The backend server has another address from now on.
+struct BackendAddressChanged
+{
+    NetAddress address;
+};
+
+using BackendCommand = std::variant<BackendCall, BackendCancel, BackendAddressChanged>;
 using BackendEvent = std::variant<BackendResult, BackendReachable>;
 
 /// Maps calls to a backend server to HTTP requests, and HTTP responses to results.
@@ -67,8 +73,11 @@
           m_monitor(m_thread.io(), backendServer,
                     [this](bool isReachable) { onReachabilityChanged(isReachable); }),
           m_input(m_thread.io(), ringCapacity, [this](BackendCommand &&command) {
-              std::visit(Overloaded { [this](BackendCall &call) { onCall(std::move(call)); },
-                                      [this](BackendCancel &cancel) { onCancel(cancel); } },
+              std::visit(Overloaded {
+                             [this](BackendCall &call) { onCall(std::move(call)); },
+                             [this](BackendCancel &cancel) { onCancel(cancel); },
+                             [this](BackendAddressChanged &changed) { onAddress(changed.address); },
+                         },
                          command);
           })
     { }
@@ -123,6 +132,12 @@
             m_client.cancel(found->second);
     }
 
+    void onAddress(const NetAddress &address)
+    {
+        m_client.setServer(address);
+        m_monitor.setServer(address);
+    }
+
     void onReachabilityChanged(bool isReachable)
     {
         m_sink(BackendReachable { isReachable });
--- a/include/camphorreach/impl/httpclient.h
+++ b/include/camphorreach/impl/httpclient.h
@@ -94,6 +94,9 @@
     void cancel(CallHandle call);
     /// Opens idle connections in advance until \a count connections are open.
     void warmUp(std::size_t count);
+    /// Calls that have no connection yet, and later ones, go to \a server. Calls on a connection
+    /// end there; idle connections to another server are closed.
+    void setServer(NetAddress server);
     [[nodiscard]] std::size_t connectionCount() const noexcept;
 
 private:
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -389,6 +389,7 @@
 void MeshNode<Dialect>::reload(const SidecarSettings &settings)
 {
     m_log.info("event=settings-reloaded service=" + settings.backendServer.service.value());
+    m_path.backend().ring().push(BackendAddressChanged { settings.backendServer.address });
     m_localServer.ring().push(readNow(settings.backendServer));
 }
 
--- a/include/camphorreach/impl/reachabilitymonitor.h
+++ b/include/camphorreach/impl/reachabilitymonitor.h
@@ -25,6 +25,8 @@
     ~ReachabilityMonitor();
 
     void start();
+    /// Monitors another server. Its state is reported like that after start().
+    void setServer(NetAddress server);
 
 private:
     class Impl;
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -121,6 +121,7 @@
     [[nodiscard]] Stage<Membership> &membership() noexcept { return m_membership; }
     [[nodiscard]] BasicClientEndpoint<Clients> &clients() noexcept { return m_clients; }
     [[nodiscard]] PeerEndpoint &peers() noexcept { return m_peers; }
+    [[nodiscard]] BasicBackendEndpoint<Backend> &backend() noexcept { return m_backend; }
 
     void startFilters()
     {
--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -81,6 +81,7 @@
                     HeadReceived headReceived);
     void cancel(CallHandle call);
     void warmUp(std::size_t count);
+    void setServer(NetAddress server);
     void stop();
 
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_connectionCount; }
@@ -106,7 +107,7 @@
     void end(CallHandle handle, HttpFailure::Kind kind);
 
     asio::io_context &m_io;
-    const NetAddress m_server;
+    NetAddress m_server;
     const std::size_t m_maxConnections;
     const Options m_options;
     std::map<CallHandle, Call> m_calls;
@@ -121,7 +122,7 @@
 {
 public:
     explicit Connection(const std::shared_ptr<Impl> &client)
-        : m_client(client), m_stream(client->m_io)
+        : m_client(client), m_server(client->m_server), m_stream(client->m_io)
     {
         ++client->m_connectionCount;
     }
@@ -141,9 +142,7 @@
 
     void connect(std::function<void(ErrorCodeType)> done)
     {
-        const auto client = m_client.lock();
-        const tcp::endpoint endpoint(asio::ip::make_address(client->m_server.host),
-                                     client->m_server.port);
+        const tcp::endpoint endpoint(asio::ip::make_address(m_server.host), m_server.port);
         m_stream.async_connect(
             endpoint, [self = shared_from_this(), done = std::move(done)](ErrorCodeType error) {
                 if (!error) {
@@ -184,6 +183,8 @@
         m_stream.socket().close(ignored);
     }
 
+    [[nodiscard]] const NetAddress &server() const noexcept { return m_server; }
+
     // Nothing may be readable on an idle connection: data or an end of stream makes it unusable.
     [[nodiscard]] bool isUsable()
     {
@@ -224,7 +225,7 @@
         m_request.method_string(call.request.method);
         m_request.target(call.request.target);
         if (call.request.header("Host").empty())
-            m_request.set(http::field::host, toText(client->m_server));
+            m_request.set(http::field::host, toText(m_server));
         for (const HttpHeader &header : call.request.headers)
             m_request.insert(header.name, header.value);
         m_request.body() = std::move(call.request.body);
@@ -318,7 +319,8 @@
             return failInvalid();
         const CallHandle handle = std::exchange(m_handle, 0);
         const auto &preventsReuse = client->m_options.preventsReuse;
-        if (!isLast && m_buffer.size() == 0 && !(preventsReuse && preventsReuse(response)))
+        if (!isLast && m_buffer.size() == 0 && m_server == client->m_server
+            && !(preventsReuse && preventsReuse(response)))
             makeIdle(*client, response);
         else
             close();
@@ -357,6 +359,7 @@
     }
 
     std::weak_ptr<Impl> m_client;
+    const NetAddress m_server; // that of the client when the connection was opened
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer { maxBufferBytes };
     http::request<http::string_body> m_request;
@@ -475,7 +478,7 @@
         const auto connection = std::make_shared<Connection>(shared_from_this());
         connection->connect([weak = weak_from_this(), connection](ErrorCodeType error) {
             const auto self = weak.lock();
-            if (error || !self)
+            if (error || !self || connection->server() != self->m_server)
                 return;
             self->m_idle.push_back(connection);
             connection->watchIdle();
@@ -484,6 +487,15 @@
     }
 }
 
+void HttpClient::Impl::setServer(NetAddress server)
+{
+    if (server == m_server)
+        return;
+    m_server = std::move(server);
+    for (const std::shared_ptr<Connection> &connection : std::exchange(m_idle, {}))
+        connection->close();
+}
+
 void HttpClient::Impl::stop()
 {
     m_isStopped = true;
@@ -522,6 +534,11 @@
     m_impl->warmUp(count);
 }
 
+void HttpClient::setServer(NetAddress server)
+{
+    m_impl->setServer(std::move(server));
+}
+
 std::size_t HttpClient::connectionCount() const noexcept
 {
     return m_impl->connectionCount();
--- a/src/endpoints/reachabilitymonitor.cpp
+++ b/src/endpoints/reachabilitymonitor.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -39,6 +40,7 @@
     void connect()
     {
         m_socket = tcp::socket(m_socket.get_executor());
+        ++m_attempt;
         m_timer.expires_after(connectTimeout);
         m_timer.async_wait([weak = weak_from_this()](ErrorCodeType error) {
             const auto self = weak.lock();
@@ -46,17 +48,30 @@
                 self->close(); // fails the attempt
         });
         const tcp::endpoint endpoint(asio::ip::make_address(m_server.host), m_server.port);
-        m_socket.async_connect(endpoint, [weak = weak_from_this()](ErrorCodeType error) {
-            const auto self = weak.lock();
-            if (!self || self->m_isStopped)
-                return;
-            self->m_timer.cancel();
-            self->report(!error);
-            if (error)
-                self->scheduleConnect();
-            else
-                self->watch();
-        });
+        m_socket.async_connect(endpoint,
+                               [weak = weak_from_this(), attempt = m_attempt](ErrorCodeType error) {
+                                   const auto self = weak.lock();
+                                   if (!self || self->isOutdated(attempt))
+                                       return;
+                                   self->m_timer.cancel();
+                                   self->report(!error);
+                                   if (error)
+                                       self->scheduleConnect();
+                                   else
+                                       self->watch();
+                               });
+    }
+
+    void setServer(NetAddress server)
+    {
+        if (server == m_server)
+            return;
+        m_server = std::move(server);
+        m_backoff.reset();
+        m_isReachable.reset();
+        m_timer.cancel();
+        close();
+        connect();
     }
 
     void stop()
@@ -85,17 +100,18 @@
 
     void read()
     {
-        m_socket.async_read_some(asio::buffer(m_buffer),
-                                 [weak = weak_from_this()](ErrorCodeType error, std::size_t size) {
-                                     const auto self = weak.lock();
-                                     if (!self || self->m_isStopped)
-                                         return;
-                                     self->m_unsolicitedBytes += size;
-                                     if (error || self->m_unsolicitedBytes > maxUnsolicitedBytes)
-                                         self->scheduleConnect();
-                                     else
-                                         self->read();
-                                 });
+        m_socket.async_read_some(
+            asio::buffer(m_buffer),
+            [weak = weak_from_this(), attempt = m_attempt](ErrorCodeType error, std::size_t size) {
+                const auto self = weak.lock();
+                if (!self || self->isOutdated(attempt))
+                    return;
+                self->m_unsolicitedBytes += size;
+                if (error || self->m_unsolicitedBytes > maxUnsolicitedBytes)
+                    self->scheduleConnect();
+                else
+                    self->read();
+            });
     }
 
     void scheduleConnect()
@@ -112,6 +128,12 @@
         });
     }
 
+    // Whether a completion belongs to an earlier connection, for example to another server.
+    [[nodiscard]] bool isOutdated(std::uint64_t attempt) const noexcept
+    {
+        return m_isStopped || attempt != m_attempt;
+    }
+
     void report(bool isReachable)
     {
         if (m_isReachable == isReachable)
@@ -126,14 +148,15 @@
         m_socket.close(ignored);
     }
 
-    const NetAddress m_server;
+    NetAddress m_server;
     const Listener m_listener;
     tcp::socket m_socket;
     asio::steady_timer m_timer;
     std::array<char, 64> m_buffer {};
     std::size_t m_unsolicitedBytes = 0; // on this connection; at most the limit and one read
     std::optional<Duration> m_backoff; // of the next attempt; empty after a connection that lasted
-    std::optional<bool> m_isReachable; // as last reported
+    std::optional<bool> m_isReachable; // as last reported; empty until the server was tried
+    std::uint64_t m_attempt = 0; // counts the connections
     bool m_isStopped = false;
 };
 
@@ -141,6 +164,11 @@
     : m_impl(std::make_shared<Impl>(io, std::move(server), std::move(listener)))
 { }
 
+void ReachabilityMonitor::setServer(NetAddress server)
+{
+    m_impl->setServer(std::move(server));
+}
+
 ReachabilityMonitor::~ReachabilityMonitor()
 {
     m_impl->stop();
--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -252,6 +252,31 @@
         CHECK(sendRequest(0, "POST", "/bags/2?caller=1").body == "trucks");
 }
 
+// Guards against calls to the former address of the backend server after the settings have named
+// another one: the node admits requests that the new server announces, and all of them fail.
+TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_settingsNameOtherAddress_requestsReachThatAddress")
+{
+    REQUIRE(announce(0, 1, "ready").status == 200);
+    (void)requestUntil(200, 1, "/bags/1");
+    LoopbackServer moved([](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
+        HttpResponse response = signedResponse(request);
+        response.body = "moved";
+        server.respond(id, std::move(response));
+    });
+    SidecarSettings settings = sidecars[0]->settings;
+    settings.backendServer.address = moved.address();
+    sidecars[0]->node->reload(settings);
+    sidecars[0]->server = nullptr;
+    HttpRequest announcement = announcementOf("i-moved", moved.address(), 9, "ready");
+    REQUIRE(call(settings.announceAddress, std::move(announcement)).status == 200);
+    HttpResponse response;
+    for (int i = 0; i < 200 && response.body != "moved"; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        response = sendRequest(1, "POST", "/bags/2");
+    }
+    CHECK(response.body == "moved");
+}
+
 // Guards against a planned stop that interrupts requests or leaves the node ready.
 TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_stopRequested_keepsServingWhileNotReady")
 {
