Limit the requests to a cold backend server at its gate

Cause: a backend server that has just started, or becomes cold again, tolerates only `warmup_per_s` requests a second and crashes well above that. Nothing read that value: a cold server got its slots filled like a warm one.

A gate that has just started takes its server as cold until an announcement says otherwise, and the second before as full. The rate is part of the expected wait, so that what would be answered too late is refused at once and runs elsewhere, and slots that the rate leaves idle are reported as taken. The local server passes on a warm-up that begins anew, and every new run. Impossible values are one finding in the log and are read on the safe side. Without `warmup_per_s` nothing is limited or recorded.

Tests: run against copies without the part, where they failed: ColdStart_… (but for ColdStart_withoutPolicy…), Gate_serverTurnsCold…, Gate_coldServer…, Gate_turnsCold…, Gate_serverIsBack… and ColdLoad_… without the limiter; ColdStart_turnsColdAtAnyPhase…, Gate_serverTurnsColdMidSecond… and ColdLoad_… with the spacing alone; ColdStart_gateRestarted… without the second before the start; LocalServer_coldAgainDuringWarmUp… and LocalServer_newRun… without what is new in the filter. Platform_warmUpOfService… and VersionedConfig_warmUpOfService… were not run against such a copy.

--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -1,6 +1,7 @@
 // Gate: admission control in front of the node's own backend server.
 #pragma once
 
+#include <camphorreach/coldstart.h>
 #include <camphorreach/crashcontainment.h>
 #include <camphorreach/decision.h>
 #include <camphorreach/egressbudget.h>
@@ -14,10 +15,12 @@
 #include <camphorreach/request.h>
 #include <camphorreach/resultstore.h>
 #include <camphorreach/servicetimes.h>
+#include <camphorreach/snapshot.h>
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <variant>
@@ -31,10 +34,10 @@
 class Gate
 {
 public:
-    using Input
-        = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult, BackendReachable,
-                       BackendLeaving, PeerReceived<QuarantineMessage>, EndpointsChanged,
-                       DrainStarted, BackendAnnounced, EgressBacklogChanged>;
+    using Input = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult,
+                               BackendReachable, BackendLeaving, PeerReceived<QuarantineMessage>,
+                               EndpointsChanged, DrainStarted, BackendAnnounced,
+                               EgressBacklogChanged, SnapshotChanged>;
     using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained,
                                 GateDecision>;
 
@@ -46,6 +49,7 @@
         std::uint64_t shed = 0; ///< Refused because the queue was full.
         std::uint64_t egressRefused
             = 0; ///< Refused because the bandwidth of the machine was taken.
+        std::uint64_t coldRefused = 0; ///< Refused because the backend server is cold.
         std::uint64_t lateResults = 0; ///< Results of calls that no caller waits for; dropped.
         std::uint64_t keyHits = 0; ///< Retries that were answered without a second run.
         std::uint64_t crashes = 0;
@@ -78,6 +82,8 @@
 
     [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
     [[nodiscard]] GateLoad load() const noexcept;
+    /// Whether the backend server is cold and its requests are limited for that.
+    [[nodiscard]] bool isLimitedByColdStart() const noexcept { return m_coldStart.isLimiting(); }
     [[nodiscard]] bool isReachable() const noexcept { return m_isReachable; }
     [[nodiscard]] const CrashContainment &containment() const noexcept { return m_containment; }
     [[nodiscard]] const ResultStore &results() const noexcept { return m_results; }
@@ -113,13 +119,16 @@
     void cancelCalls(LinkId link, std::optional<RequestId> id, Outbox<Output> &outbox);
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
     void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
+    void updateWarmUpPolicy(TimePoint now);
+    void reviewQueues(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
     [[nodiscard]] Duration egressWait(const GateWork &work, Duration wait, TimePoint now) const;
     [[nodiscard]] Duration minTimeLeft(const RouteName &route) const;
     [[nodiscard]] bool missesTarget(const GateWork &work, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
     [[nodiscard]] std::optional<GateWork> nextWork(TimePoint now);
-    [[nodiscard]] Duration expectedWait(const GateWork &work) const;
+    [[nodiscard]] NotRun overloaded(Duration wait);
+    [[nodiscard]] Duration expectedWait(const GateWork &work, TimePoint now) const;
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
 
@@ -162,6 +171,8 @@
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
     EgressBudget m_egress;
+    std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
+    ColdStartLimiter m_coldStart;
     FairShare m_shares;
     std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots when a call starts; only one while m_isolatedCall is set
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -236,6 +236,7 @@
                            + " routes=" + std::to_string(changed.snapshot->hostRoutes.size()));
                 m_path.clients().setLimits(changed.snapshot->limits);
                 m_localServer.ring().push(changed);
+                m_path.gate().ring().push(changed);
                 m_path.router().ring().push(std::move(changed));
                 m_hasConfiguration = true;
             },
@@ -288,9 +289,12 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onBackendAnnounced(BackendAnnounced &&announced)
 {
-    m_log.info("event=backend-announced server=" + announced.server.value()
-               + " service=" + announced.service.value() + " version=" + announced.version.value()
-               + " accepting=" + (announced.isAccepting ? "1" : "0"));
+    m_log.info(
+        "event=backend-announced server=" + announced.server.value()
+        + " service=" + announced.service.value() + " version=" + announced.version.value()
+        + " accepting=" + (announced.isAccepting ? "1" : "0") + " warm-up-ms="
+        + std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(announced.warmUpLeft).count()));
     m_path.membership().ring().push(SelfChanged { announced.service, announced.version,
                                                   announced.slots, announced.isAccepting });
     m_path.gate().ring().push(std::move(announced));
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -118,6 +118,8 @@
     // Until the first snapshot and the stored departures are known; at most maxPending.
     std::deque<BackendAnnouncement> m_pending;
     std::optional<BackendAnnounced> m_published;
+    TimePoint m_publishedWarmAt {}; // when the published warm-up ends
+    bool m_isRunNew = false; // m_latest belongs to a run of which nothing was published
 };
 
 static_assert(Filter<LocalServer>);
--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -5,9 +5,11 @@
 #include <camphorreach/ids.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/snapshot.h>
+#include <camphorreach/warmup.h>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace camphorreach {
@@ -16,6 +18,7 @@
 {
     ServiceName name;
     std::uint32_t maxConnections = 1; ///< To one backend server, from all callers.
+    std::optional<WarmUpPolicy> warmUp {}; ///< Limits the requests to cold backend servers.
 
     friend bool operator==(const MeshService &, const MeshService &) = default;
 };
--- a/include/camphorreach/snapshot.h
+++ b/include/camphorreach/snapshot.h
@@ -5,10 +5,12 @@
 #include <camphorreach/request.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/units.h>
+#include <camphorreach/warmup.h>
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +44,8 @@
     Share retryBudget = Share::fromFraction(0.1); ///< Ratio of retries to first attempts.
     std::uint32_t queueLimit = 256; ///< Default for its versions.
     MovePolicy move;
+    /// Limits the requests to cold backend servers; without it they are not limited.
+    std::optional<WarmUpPolicy> warmUp {};
 
     /// The route with the longest prefix that matches whole path segments, or nullptr.
     [[nodiscard]] const RoutePolicy *findRoute(std::string_view path) const noexcept;
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -122,10 +122,16 @@
     archive(limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, WarmUpPolicy &policy)
+{
+    archive(policy.duration, policy.rate);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, MeshService &service)
 {
-    archive(service.name, service.maxConnections);
+    archive(service.name, service.maxConnections, service.warmUp);
 }
 
 template <typename Archive>
--- a/src/filters/configuration/meshconfig.cpp
+++ b/src/filters/configuration/meshconfig.cpp
@@ -26,6 +26,7 @@
         ServicePolicy policy;
         policy.name = service.name;
         policy.retryBudget = retryBudget;
+        policy.warmUp = service.warmUp;
         snapshot->services.emplace(service.name, std::move(policy));
     }
     return snapshot;
--- a/src/filters/configuration/versionedconfig.cpp
+++ b/src/filters/configuration/versionedconfig.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t fixedDeltaBytes = 3 * 8 + 3 * lengthBytes + 2 * 4 + 3 * 8;
 constexpr std::size_t fixedRouteBytes = 5 * lengthBytes + 2 * 4 + 2 * 1 + 2 * 8;
 constexpr std::size_t fixedServiceBytes = lengthBytes + 4;
+constexpr std::size_t warmUpBytes = 1 + 8 + 4; // with the flag that says whether it follows
 
 // Hashes the fields of a value. Strings are hashed with their length, so that a different split of
 // the same text gives a different hash.
@@ -61,8 +62,11 @@
 std::uint64_t hashOf(const std::vector<MeshService> &services, const HttpLimits &limits)
 {
     Hasher hasher;
-    for (const MeshService &service : services)
+    for (const MeshService &service : services) {
         hasher.add(service.name.value()).add(service.maxConnections);
+        if (service.warmUp)
+            hasher.add("warm-up").add(service.warmUp->duration).add(service.warmUp->rate.value());
+    }
     hasher.add(limits.headerBytes).add(limits.bodyBytes);
     hasher.add(limits.headerTimeout).add(limits.idleTimeout);
     return hasher.result();
@@ -93,7 +97,7 @@
     for (const RouteKey &key : delta.removed)
         bytes += 2 * lengthBytes + key.host.size() + key.prefix.size();
     for (const MeshService &service : delta.services)
-        bytes += fixedServiceBytes + service.name.value().size();
+        bytes += fixedServiceBytes + warmUpBytes + service.name.value().size();
     return bytes;
 }
 
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t maxPending = 64;
 // A store that works responds within 250 ms, also to a node that has just started.
 constexpr Duration restoreTimeout = std::chrono::seconds(2);
+// Announcements take different times to arrive. A warm-up that ends this much later than was
+// published is another one; a smaller difference is not published.
+constexpr Duration warmUpTolerance = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -65,6 +68,7 @@
         const bool isSameRun = announcement.startTime == m_latest->startTime;
         announcement.isDraining |= isSameRun && m_latest->isDraining;
     }
+    m_isRunNew = m_isRunNew || !m_latest || announcement.startTime != m_latest->startTime;
     m_latest = std::move(announcement);
     m_isLatestReplaced = false;
     m_service = m_latest->service;
@@ -167,13 +171,22 @@
                                  m_latest->slots,
                                  !m_latest->isDraining && !m_isLatestReplaced && !isTimedOut,
                                  m_latest->warmUpLeft };
-    // The remaining warm-up time shrinks with every announcement; only its start is a change.
-    if (m_published && announced.warmUpLeft > Duration::zero()
-        && m_published->warmUpLeft > Duration::zero())
+    // The remaining warm-up time shrinks with every announcement; only a start of a warm-up is a
+    // change. The server may become cold again before the last warm-up has ended.
+    const TimePoint warmAt = m_receivedAt + m_latest->warmUpLeft;
+    const bool isCold = announced.warmUpLeft > Duration::zero();
+    const bool wasCold = m_published && m_published->warmUpLeft > Duration::zero();
+    const bool isColdAgain = isCold && (!wasCold || warmAt > m_publishedWarmAt + warmUpTolerance);
+    if (isColdAgain)
+        m_publishedWarmAt = warmAt;
+    else if (isCold)
         announced.warmUpLeft = m_published->warmUpLeft;
-    if (m_published == announced)
+    if (m_published == announced && !isColdAgain && !m_isRunNew)
         return;
+    m_isRunNew = false;
     m_published = announced;
+    if (isCold)
+        announced.warmUpLeft = std::max(warmAt - now, Duration::zero());
     outbox.emit(std::move(announced));
 }
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -74,6 +74,7 @@
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
+    m_coldStart.update(now);
     std::visit(
         Overloaded {
             [&](ForwardReceived &received) { onReceived(std::move(received), now, outbox); },
@@ -89,6 +90,11 @@
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
             [&](EgressBacklogChanged &changed) { m_egress.onBacklog(changed, now); },
             [&](DrainStarted &) { m_isDraining = true; },
+            [&](SnapshotChanged &changed) {
+                m_snapshot = std::move(changed.snapshot);
+                updateWarmUpPolicy(now);
+                reviewQueues(now, outbox);
+            },
         },
         input);
     fillSlots(now, outbox);
@@ -151,7 +157,7 @@
         return NotRun { NotRunReason::Unreachable };
     if (!canFinish(work, now))
         return NotRun { NotRunReason::DeadlinePassed };
-    const Duration wait = expectedWait(work);
+    const Duration wait = expectedWait(work, now);
     const Duration sendWait = egressWait(work, wait, now);
     if (m_egress.isTooLong(sendWait)) {
         ++m_counts.egressRefused;
@@ -159,13 +165,23 @@
     }
     const Duration transfer = m_egress.transferTimeOf(request.route);
     if (work.answerDeadline - now < wait + m_serviceTimes.mean(request.route) + sendWait + transfer)
-        return NotRun { NotRunReason::Overloaded, wait + sendWait };
+        return overloaded(wait + sendWait);
     // A late response is better than a refusal, as long as late requests do not delay the others.
-    if (missesTarget(work, now) && m_lateQueue.size() >= m_slots)
-        return NotRun { NotRunReason::Overloaded, wait };
+    if (!missesTarget(work, now))
+        return std::nullopt;
+    // At the rate of a cold server, late requests would wait behind the others until they expire.
+    const bool waitsForRate = m_coldStart.isLimiting() && wait > Duration::zero();
+    if (waitsForRate || m_lateQueue.size() >= m_slots)
+        return overloaded(wait);
     return std::nullopt;
 }
 
+NotRun Gate::overloaded(Duration wait)
+{
+    m_counts.coldRefused += m_coldStart.isLimiting() ? 1 : 0;
+    return { NotRunReason::Overloaded, wait };
+}
+
 // Expected wait of the response for bandwidth, when the request waits that long for a slot. Zero
 // for short responses, which are sent before long ones.
 Duration Gate::egressWait(const GateWork &work, Duration wait, TimePoint now) const
@@ -187,7 +203,7 @@
 {
     if (!m_limits.rejectsEarly)
         return false;
-    const Duration wait = expectedWait(work);
+    const Duration wait = expectedWait(work, now);
     return work.target - now < wait + m_serviceTimes.mean(work.request.route)
         + egressWait(work, wait, now) + m_egress.transferTimeOf(work.request.route);
 }
@@ -213,18 +229,25 @@
     return m_lateQueue.pop();
 }
 
-// Expected time until the request gets a slot, given the requests that would run before it.
-Duration Gate::expectedWait(const GateWork &work) const
+// Expected time until the request gets a slot and may start, given the requests that would run
+// before it.
+Duration Gate::expectedWait(const GateWork &work, TimePoint now) const
 {
-    if (m_running.size() < m_slots)
+    const bool isSlotFree = m_running.size() < m_slots;
+    if (isSlotFree && !m_coldStart.isLimiting())
         return Duration::zero();
     GateWork probe;
     probe.request.kindWeight = work.request.kindWeight;
     probe.target = work.target;
     probe.deadline = work.deadline;
     probe.tag = m_shares.nextTag(work.request.route);
-    const auto ahead = static_cast<Duration::rep>(m_queue.countBefore(probe)) + 1;
-    return m_serviceTimes.overallMean() * ahead / static_cast<Duration::rep>(m_slots);
+    const std::size_t before = m_queue.countBefore(probe);
+    const Duration coldWait = m_coldStart.waitFor(before, now);
+    if (isSlotFree)
+        return coldWait;
+    const auto ahead = static_cast<Duration::rep>(before) + 1;
+    return std::max(coldWait,
+                    m_serviceTimes.overallMean() * ahead / static_cast<Duration::rep>(m_slots));
 }
 
 template <typename Take>
@@ -236,8 +259,6 @@
     return requests;
 }
 
-// Refuses queued requests that the backend server no longer accepts, so that they can run at
-// another gate.
 void Gate::onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox)
 {
     m_slots = std::max(1U, announced.slots);
@@ -253,6 +274,28 @@
         m_processEndedAt.reset(); // calls lost from now on ran in the new process
     }
     m_spread.setService(m_service);
+    updateWarmUpPolicy(now);
+    m_coldStart.onAnnounced(announced.warmUpLeft, now);
+    reviewQueues(now, outbox);
+}
+
+// Before the first configuration, a cold server gets the rate that suits any service.
+void Gate::updateWarmUpPolicy(TimePoint now)
+{
+    std::optional<WarmUpPolicy> policy;
+    if (m_snapshot) {
+        if (const ServicePolicy *service = m_snapshot->findService(m_service))
+            policy = service->warmUp;
+    } else if (m_limits.needsAnnouncement) {
+        policy = WarmUpPolicy {};
+    }
+    m_coldStart.setPolicy(policy, now);
+}
+
+// Refuses queued requests that the backend server no longer accepts, or that it would start too
+// late, so that they can run at another gate.
+void Gate::reviewQueues(TimePoint now, Outbox<Output> &outbox)
+{
     for (GateWork &work : takeFromQueues(&GateQueue::takeAll)) {
         if (const auto notRun = refusal(work, now))
             refuse(work, *notRun, now, outbox);
@@ -361,8 +404,10 @@
 void Gate::onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox)
 {
     // A backend server that becomes reachable again is a new process.
-    if (isReachable && !m_isReachable)
+    if (isReachable && !m_isReachable) {
         m_isBackendLeaving = false;
+        m_coldStart.onProcessStarted(now);
+    }
     m_isReachable = isReachable;
     if (isReachable) {
         m_processEndedAt.reset();
@@ -457,9 +502,10 @@
 
 void Gate::fillSlots(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_isReachable || !m_isAccepting || m_isolatedCall || scheduleIsolated(now, outbox))
+    if (!m_isReachable || !m_isAccepting || m_isolatedCall || !m_coldStart.mayStart(now)
+        || scheduleIsolated(now, outbox))
         return;
-    while (m_running.size() < m_slots) {
+    while (m_running.size() < m_slots && m_coldStart.mayStart(now)) {
         std::optional<GateWork> work = nextWork(now);
         if (!work)
             break;
@@ -471,7 +517,7 @@
     }
     m_counts.shed += m_shed.size();
     refuseAll(std::exchange(m_shed, {}), NotRunReason::Overloaded, now, outbox);
-    if (!m_suspectQueue.isEmpty() && m_running.empty())
+    if (!m_suspectQueue.isEmpty() && m_running.empty() && m_coldStart.mayStart(now))
         (void)scheduleIsolated(now, outbox);
 }
 
@@ -512,6 +558,7 @@
         return false;
     }
     m_shares.onStarted(work.tag);
+    m_coldStart.onStarted(now);
     const CallId id(m_nextCall++);
     work.request.budget = work.answerDeadline - now;
     ++m_counts.dispatched;
@@ -566,6 +613,7 @@
 void Gate::advance(TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
+    m_coldStart.update(now);
     m_results.expire(now);
     refuseAll(takeFromQueues([&](GateQueue &queue) { return queue.takeExpired(now); }),
               NotRunReason::DeadlinePassed, now, outbox);
@@ -587,15 +635,24 @@
     consider(m_suspectQueue.earliestDeadline());
     consider(m_results.nextExpiry());
     consider(m_spread.nextRepair());
+    const TimePoint coldStart = m_coldStart.isLimiting() ? m_coldStart.nextStart() : TimePoint {};
     if (!m_suspectQueue.isEmpty() && !m_isolatedCall)
-        consider(m_holdSince ? *m_holdSince + maxHold : m_nextIsolation);
+        consider(std::max(m_holdSince ? *m_holdSince + maxHold : m_nextIsolation, coldStart));
+    if (m_coldStart.isLimiting() && m_isReachable && m_isAccepting && !m_isolatedCall
+        && !m_holdSince && m_running.size() < m_slots
+        && !(m_queue.isEmpty() && m_lateQueue.isEmpty()))
+        consider(coldStart);
     return earliest;
 }
 
 GateLoad Gate::load() const noexcept
 {
-    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(queued()),
-             m_slots };
+    // Slots that the rate of a cold server leaves idle count as taken, so that routers send it
+    // fewer requests.
+    const std::uint32_t usable = m_coldStart.usableSlots(m_slots, m_serviceTimes.overallMean());
+    const auto running = static_cast<std::uint32_t>(m_running.size());
+    return { std::max(running, std::min(m_slots, running + m_slots - usable)),
+             static_cast<std::uint32_t>(queued()), m_slots };
 }
 
 std::size_t Gate::queued() const noexcept
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -83,6 +83,8 @@
              { "refused", counts.refused },
              { "shed", counts.shed },
              { "egress_refused", counts.egressRefused },
+             { "cold_refused", counts.coldRefused },
+             { "is_limited_by_cold_start", gate.isLimitedByColdStart() },
              { "late_results", counts.lateResults },
              { "key_hits", counts.keyHits },
              { "stored_results", gate.results().size() },
--- a/tests/localservertest.cpp
+++ b/tests/localservertest.cpp
@@ -175,6 +175,38 @@
     CHECK(published == 2);
 }
 
+// Guards against a server that becomes cold again during its warm-up and gets the load of a warm
+// one when the first warm-up would have ended.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_coldAgainDuringWarmUp_isPublishedAtOnce")
+{
+    BackendAnnouncement warmingUp = announcement(1);
+    warmingUp.warmUpLeft = seconds(3);
+    process(warmingUp);
+    now += seconds(2);
+    warmingUp.sequence = AnnouncementSequence(2);
+    process(warmingUp); // three seconds are left again
+    CHECK(published == 2);
+    CHECK(latest->warmUpLeft == seconds(3));
+    now += seconds(1);
+    BackendAnnouncement leaving = draining(3);
+    leaving.warmUpLeft = seconds(2);
+    process(leaving);
+    CHECK(latest->warmUpLeft == seconds(2)); // what is left, not what was left when it began
+}
+
+// Guards against a restart under the same id that a gate never hears of: it has seen the new
+// process accept connections, takes it as cold, and waits for its announcement.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_newRunInTheSameState_isPublished")
+{
+    process(announcement(9));
+    process(announcement(10));
+    REQUIRE(published == 1);
+    process(announcement(1, 200));
+    CHECK(published == 2);
+    process(announcement(2, 200));
+    CHECK(published == 2);
+}
+
 // Guards against a late announcement that reactivates a server whose departure this node had
 // acknowledged before it knew the server (hunt-2585-27 of lysvaerk-mesh).
 TEST_CASE_METHOD(LocalServerFixture, "LocalServer_departureOfUnknownRun_appliesToLateAnnouncements")
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -162,6 +162,40 @@
     CHECK(config->services.at(0).maxConnections == 110);
 }
 
+// Guards against a warm-up that is not read, and against one impossible value that costs the whole
+// configuration or leaves a cold server without a limit or without requests.
+TEST_CASE_METHOD(PlatformFixture, "Platform_warmUpOfService_invalidValuesAreReadOnTheSafeSide")
+{
+    const auto warmUpOf = [](const std::string &seconds, const std::string &perSecond) {
+        std::string body = configBody;
+        const std::string columns = R"("protocol","tls"])";
+        body.replace(body.find(columns), columns.size(),
+                     R"("protocol","tls","warmup_s","warmup_per_s"])");
+        const std::string row = R"("h1",false])";
+        body.replace(body.find(row), row.size(),
+                     R"("h1",false,)" + seconds + "," + perSecond + "]");
+        const auto entries
+            = std::get<StoreEntries>(reply(StoreList { StoreKind::Configuration }, 200, body));
+        const auto *config
+            = std::get_if<std::shared_ptr<const MeshConfig>>(&entries.entries.at(0).value);
+        REQUIRE(config != nullptr);
+        CHECK((*config)->routes.size() == 2);
+        CHECK_FALSE((*config)->services.at(1).warmUp); // its row ends before these columns
+        return (*config)->services.at(0).warmUp;
+    };
+    using std::chrono::hours;
+    using std::chrono::seconds;
+    CHECK(warmUpOf("3.0", "8.7") == WarmUpPolicy { seconds(3), RequestRate(8700) });
+    CHECK(warmUpOf("3", "0.0001") == WarmUpPolicy { seconds(3), RequestRate(1) });
+    CHECK(warmUpOf("3", "1e300") == WarmUpPolicy { seconds(3), RequestRate(1'000'000) });
+    CHECK_FALSE(warmUpOf("3", "null"));
+    CHECK(warmUpOf("null", "2") == WarmUpPolicy { Duration::zero(), RequestRate(2000) });
+    for (const char *rate : { "0", "-4", "\"fast\"", "[1]" })
+        CHECK(warmUpOf("3", rate) == WarmUpPolicy { seconds(3), WarmUpPolicy::safeRate });
+    for (const char *duration : { "-1", "1e18", "\"long\"" })
+        CHECK(warmUpOf(duration, "2") == WarmUpPolicy { hours(1), RequestRate(2000) });
+}
+
 // Guards against an invalid object of another writer that prevents the node from reading the other
 // objects.
 TEST_CASE_METHOD(PlatformFixture, "Platform_invalidObject_becomesAnEmptyEntry")
--- a/tests/versionedconfigtest.cpp
+++ b/tests/versionedconfigtest.cpp
@@ -149,5 +149,30 @@
     }
 }
 
+// Guards against nodes that learn a configuration from peers and limit cold servers differently
+// from those that read it from the store, and against a changed rate that the digest does not
+// cover.
+TEST_CASE_METHOD(VersionedConfigFixture, "VersionedConfig_warmUpOfService_isPartOfDeltaAndDigest")
+{
+    MeshConfig before = config(3, { route("a") });
+    MeshConfig after = config(4, { route("a") });
+    after.services.front().warmUp = WarmUpPolicy { std::chrono::seconds(3), RequestRate(8700) };
+    const VersionedConfig sender = holding(after);
+    const ConfigDelta delta = sender.deltaSince({});
+    CHECK(delta.digest != holding(config(4, { route("a") })).deltaSince({}).digest);
+    const impl::Envelope envelope { {}, CatalogMessage(CatalogUpdate { {}, delta, {}, {} }) };
+    const std::string payload = impl::encodePayload(envelope);
+    CHECK(payload.size() <= encodedSizeBound(delta) + 200);
+    const auto decoded = impl::decodePayload(payload);
+    REQUIRE(isOk(decoded));
+    const auto &update
+        = std::get<CatalogUpdate>(std::get<CatalogMessage>(valueOf(decoded).message));
+    VersionedConfig receiver = holding(before);
+    REQUIRE(receiver.apply(*update.config) == Effect::Applied);
+    CHECK(receiver.config() == sender.config());
+    const auto snapshot = snapshotOf(receiver.config(), Share::none());
+    CHECK(snapshot->findService(ServiceName("orders"))->warmUp == after.services.front().warmUp);
+}
+
 } // namespace
 } // namespace camphorreach
