Judge a gate's queue again only while the rate of a cold server applies

Each new configuration made the gate judge its queue anew and give the requests new fair shares, also where no service has a warm-up. It now does so only while the rate applies. A hold for a suspect that was cancelled meanwhile no longer hides the time of the next start at a cold server, until which the other requests would have waited in vain. Found by reading; no test covers either.

--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -93,7 +93,8 @@
             [&](SnapshotChanged &changed) {
                 m_snapshot = std::move(changed.snapshot);
                 updateWarmUpPolicy(now);
-                reviewQueues(now, outbox);
+                if (m_coldStart.isLimiting())
+                    reviewQueues(now, outbox);
             },
         },
         input);
@@ -639,7 +640,7 @@
     if (!m_suspectQueue.isEmpty() && !m_isolatedCall)
         consider(std::max(m_holdSince ? *m_holdSince + maxHold : m_nextIsolation, coldStart));
     if (m_coldStart.isLimiting() && m_isReachable && m_isAccepting && !m_isolatedCall
-        && !m_holdSince && m_running.size() < m_slots
+        && (!m_holdSince || m_suspectQueue.isEmpty()) && m_running.size() < m_slots
         && !(m_queue.isEmpty() && m_lateQueue.isEmpty()))
         consider(coldStart);
     return earliest;
