Evacuate failure domains by the operator's orders in the store

Cause: an entry `evacuations/ZONE` asks that nothing more be sent to the backend servers of a failure domain until it is removed. Nothing read these entries.

Change: a node whose settings have the table `evacuation` lists and watches them beside the rollout orders, and the catalogs spread them by digest, pull and update. EvacuationTable keeps the newest known state of each failure domain by its version in the store; an order that was taken back is kept with the version at which it was gone, so that an older list, reply or message does not renew it. Placement selects no endpoint of an evacuated failure domain, and the gate beside a server there refuses what is queued and what arrives as "not run", while running requests are finished. A node that starts holds its first configuration back until it knows the orders, for one second at most. Other deployments make no further calls to the store; digests, pulls and updates grow by one byte, and updates by a length.

CatalogFixture takes note of the new output only; no check of an existing test has changed.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -5,6 +5,7 @@
 #include <camphorreach/catalogspread.h>
 #include <camphorreach/departedrun.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/evacuation.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/membership.h>
 #include <camphorreach/peermessage.h>
@@ -44,18 +45,25 @@
 /// The staleness of a copy is the time since the store was last known, directly or through other
 /// nodes, to hold nothing newer. A message from a peer whose copy is as stale does not reduce it.
 /// A node whose staleness exceeds a bound watches the store itself.
+///
+/// Evacuation orders are read and spread like the rollout orders. A node that starts publishes its
+/// first configuration only once it knows the evacuation orders, or has tried for long enough, so
+/// that it sends nothing to a failure domain that is evacuated.
 class Catalog
 {
 public:
     using Input = std::variant<StoreReply, PeerReceived<CatalogMessage>, EndpointsChanged,
                                DeparturesChanged>;
     using Output = std::variant<StoreCall, PeerSend, SnapshotChanged, OrdersChanged, JoinPeers,
-                                ConfigurationReceived, DeparturesRestored, DeparturesStored>;
+                                ConfigurationReceived, DeparturesRestored, DeparturesStored,
+                                EvacuationsChanged>;
 
     struct Options
     {
         /// Maximum ratio of retries to requests of a service.
         Share retryBudget = Share::fromFraction(0.1);
+        /// Reads evacuation orders from the store too. Without it they come from other nodes only.
+        bool readsEvacuations = false;
     };
 
     Catalog(Endpoint self, Options options, RandomSource &random);
@@ -73,9 +81,13 @@
     [[nodiscard]] std::optional<Duration> staleness(TimePoint now) const;
 
 private:
+    // What a call reads: the beginning of a list, the continuation of one, or changes.
+    enum class Read : std::uint8_t { List, NextPage, Watch };
+
     struct PendingCall
     {
         StoreCallId id;
+        Read read = Read::List;
         TimePoint sentAt {};
         TimePoint overdueAt {}; // if no reply has begun until then, the store is not responding
     };
@@ -104,8 +116,11 @@
     void onDepartures(const DeparturesChanged &changed, TimePoint now);
     void publishRestored(Outbox<Output> &outbox);
     void writeRecord(Outbox<Output> &outbox);
-    void onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
+    void onEntries(Informer &informer, Read read, StoreEntries &entries, TimePoint now,
                    Outbox<Output> &outbox);
+    [[nodiscard]] bool applyEvacuations(Read read, const StoreEntries &entries, bool hasMore,
+                                        Outbox<Output> &outbox);
+    void publishEvacuations(bool haveChanged, Outbox<Output> &outbox);
     void onOverdue(Informer &informer, TimePoint now);
     void restartList(Informer &informer);
     void onLastPage(Informer &informer, ObjectVersion resourceVersion, std::size_t changes,
@@ -125,9 +140,14 @@
                Outbox<Output> &outbox);
     [[nodiscard]] bool apply(const RolloutOrder &order);
     void emitSnapshot(Outbox<Output> &outbox);
+    void releaseSnapshot(TimePoint now, Outbox<Output> &outbox);
+    [[nodiscard]] TimePoint snapshotReleaseTime() const;
+    // The informers that this node uses, and those that decide how stale its copy is.
+    [[nodiscard]] std::vector<Informer *> informers();
+    [[nodiscard]] std::vector<Informer *> watchingInformers();
     // Called once everything in a reply or message has been applied. Emits changed orders, notifies
     // peers of changes and pulls what is still missing.
-    void publishChanges(bool haveOrdersChanged, bool hasConfigChanged, TimePoint now,
+    void publishChanges(bool haveOrdersChanged, bool hasOtherChanged, TimePoint now,
                         Outbox<Output> &outbox);
     void advanceSpread(TimePoint now, Outbox<Output> &outbox);
     void updateFreshness(const CatalogVersions &theirs, TimePoint asOf);
@@ -156,6 +176,12 @@
     Informer m_configInformer { StoreKind::Configuration };
     Informer m_rolloutInformer { StoreKind::Rollouts };
     Informer m_nodeInformer { StoreKind::Nodes };
+    Informer m_evacuationInformer { StoreKind::Evacuations }; // unused without readsEvacuations
+    EvacuationTable m_evacuations;
+    // Of the list being read; empty when none was begun.
+    std::optional<StoreEntries> m_listedEvacuations;
+    bool m_areEvacuationsKnown = false; // from the store or from a peer; never reset
+    bool m_isSnapshotHeld = false; // until they are known, or snapshotReleaseTime()
     std::vector<NetAddress> m_listedNodes; // of the list being read; bounded
     unsigned m_earlyNodeLists = 4; // lists left to read at the early interval
     std::optional<StoreCallId> m_registrationCall; // pending
--- a/include/camphorreach/catalogmessage.h
+++ b/include/camphorreach/catalogmessage.h
@@ -1,6 +1,7 @@
 // Anti-entropy messages between nodes about the contents of the platform's store.
 #pragma once
 
+#include <camphorreach/evacuation.h>
 #include <camphorreach/rollout.h>
 #include <camphorreach/units.h>
 #include <camphorreach/versionedconfig.h>
@@ -16,11 +17,13 @@
 {
     ConfigVersion config;
     ObjectVersion orders; ///< Highest object version among the orders; zero when none is known.
+    /// Highest version among the evacuation orders; empty when none is known.
+    std::optional<ObjectVersion> evacuations {};
 
-    /// Whether \a other has a newer configuration or newer orders.
+    /// Whether \a other has a newer configuration, newer orders or newer evacuation orders.
     [[nodiscard]] bool isBehind(const CatalogVersions &other) const noexcept
     {
-        return config < other.config || orders < other.orders;
+        return config < other.config || orders < other.orders || evacuations < other.evacuations;
     }
     friend bool operator==(const CatalogVersions &, const CatalogVersions &) = default;
 };
@@ -52,6 +55,7 @@
     std::optional<ConfigDelta> config; ///< Empty when the receiver's configuration is as new.
     std::vector<RolloutOrder> orders; ///< Orders newer than the receiver's newest.
     Duration staleness {}; ///< Of the sender's copy when the update was created.
+    std::vector<EvacuationOrder> evacuations {}; ///< Newer than the receiver's newest.
 
     friend bool operator==(const CatalogUpdate &, const CatalogUpdate &) = default;
 };
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -6,6 +6,7 @@
 #include <camphorreach/decision.h>
 #include <camphorreach/egressbudget.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/evacuation.h>
 #include <camphorreach/fairshare.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/gatequeue.h>
@@ -37,7 +38,7 @@
     using Input = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult,
                                BackendReachable, BackendLeaving, PeerReceived<QuarantineMessage>,
                                EndpointsChanged, DrainStarted, BackendAnnounced,
-                               EgressBacklogChanged, SnapshotChanged>;
+                               EgressBacklogChanged, SnapshotChanged, BackendEvacuated>;
     using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained,
                                 GateDecision>;
 
@@ -82,6 +83,7 @@
 
     [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
     [[nodiscard]] GateLoad load() const noexcept;
+    [[nodiscard]] bool isEvacuated() const noexcept { return m_isEvacuated; }
     /// Whether the backend server is cold and its requests are limited for that.
     [[nodiscard]] bool isLimitedByColdStart() const noexcept { return m_coldStart.isLimiting(); }
     [[nodiscard]] bool isReachable() const noexcept { return m_isReachable; }
@@ -188,6 +190,7 @@
     bool m_isReachable = true;
     bool m_isBackendLeaving = false;
     bool m_isDraining = false;
+    bool m_isEvacuated = false; // nothing starts at the backend server; what runs is finished
     bool m_hasReportedDrained = false;
     Counts m_counts;
 };
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -54,6 +54,8 @@
 /// The part of the outgoing bandwidth that messages may use.
 [[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
+/// The log line of a change of the evacuated failure domains.
+[[nodiscard]] std::string toText(const EvacuationsChanged &changed);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
 /// The settings of the backend server, with the current time as that of reading.
 [[nodiscard]] LocalServerSettings readNow(LocalServerSettings settings);
@@ -148,8 +150,10 @@
                maxBackendConnections, warmConnections, usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(selfEndpoint(settings),
-                                    Catalog::Options { settings.retries.ratio }, m_catalogRandom),
+          std::make_unique<Catalog>(
+              selfEndpoint(settings),
+              Catalog::Options { settings.retries.ratio, settings.evacuationTime.has_value() },
+              m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlCapacity,
           controlReserve),
       m_rollouts(
@@ -242,6 +246,12 @@
             },
             [this](const ConfigurationReceived &received) { m_log.info(toText(received)); },
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
+            [this](EvacuationsChanged &changed) {
+                m_log.info(toText(changed));
+                m_path.gate().ring().push(
+                    BackendEvacuated { changed.domains->contains(m_settings.domain) });
+                m_path.router().ring().push(std::move(changed));
+            },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
             [this](DeparturesRestored &restored) {
                 m_localServer.ring().push(std::move(restored));
--- a/include/camphorreach/placement.h
+++ b/include/camphorreach/placement.h
@@ -77,6 +77,12 @@
 
     void update(std::shared_ptr<const EndpointTable> table, TimePoint now);
     void update(std::shared_ptr<const MoveShares> shares) { m_shares = std::move(shares); }
+    /// Endpoints in these failure domains are not selected, not even as the last ones.
+    void update(std::shared_ptr<const std::set<FailureDomain>> evacuated);
+    [[nodiscard]] std::size_t evacuatedDomainCount() const noexcept
+    {
+        return m_evacuated ? m_evacuated->size() : 0;
+    }
 
     /// Whether the instance announces that it is draining, so that it accepts no new requests.
     [[nodiscard]] bool isDraining(const ServiceName &service, const InstanceId &instance) const;
@@ -112,8 +118,10 @@
     using Tiers = std::array<std::vector<Backend>, tierCount>;
     struct ServiceIndex
     {
-        std::map<BackendVersion, Tiers> versions; // not draining; at most subsetSize per tier
-        std::map<FailureDomain, std::vector<Backend>> domains; // not draining; without subsets
+        // Neither draining nor evacuated; at most subsetSize per tier.
+        std::map<BackendVersion, Tiers> versions;
+        // Neither draining nor evacuated; without subsets.
+        std::map<FailureDomain, std::vector<Backend>> domains;
     };
 
     [[nodiscard]] Result placeKeyed(const ServicePolicy &service, const IdempotencyKey &key,
@@ -129,6 +137,11 @@
                                 TimePoint now) const;
     [[nodiscard]] std::size_t tierOf(const Endpoint &endpoint, const std::string &region) const;
     void updateTargets(TimePoint now);
+    void updateIndex();
+    [[nodiscard]] bool isEvacuated(const Endpoint &endpoint) const
+    {
+        return m_evacuated && m_evacuated->contains(endpoint.domain);
+    }
     void limitToSubset(std::vector<Backend> &backends) const;
     // Draws the version for a service without configured weights.
     [[nodiscard]] std::optional<BackendVersion> drawUnweighted(const ServiceIndex &index,
@@ -141,6 +154,7 @@
     const std::uint64_t m_subsetSeed; // differs between nodes, so that their subsets differ
     std::shared_ptr<const EndpointTable> m_table; // keeps the endpoints of the index alive
     std::shared_ptr<const MoveShares> m_shares;
+    std::shared_ptr<const std::set<FailureDomain>> m_evacuated; // null while there was no order
     std::unordered_map<NetAddress, Target> m_targets; // in m_table, or with requests in flight
     std::map<ServiceName, ServiceIndex> m_index; // of m_table
     std::set<std::pair<TimePoint, NetAddress>> m_ejectionEnds; // one per ejected target
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -4,6 +4,7 @@
 #include <camphorreach/balancing.h>
 #include <camphorreach/decision.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/evacuation.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/moveshares.h>
 #include <camphorreach/peermessage.h>
@@ -36,9 +37,9 @@
 class BasicRouter
 {
 public:
-    using Input
-        = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>, LinkDown,
-                       SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule>;
+    using Input = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>,
+                               LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
+                               DrainSchedule, EvacuationsChanged>;
     using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -8,6 +8,7 @@
 #include <camphorreach/units.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,9 @@
     /// Time from the request to stop until the platform kills the process.
     Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
+    /// Time within which an evacuation must be in force everywhere. Without it, evacuation orders
+    /// are not read from the store.
+    std::optional<Duration> evacuationTime {};
     std::uint32_t memoryMb = 256; ///< Bounds the size of buffers.
     double linkMbps = 0; ///< Bandwidth of the machine in Mbit/s; zero when not known.
 };
--- a/include/camphorreach/store.h
+++ b/include/camphorreach/store.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/departedrun.h>
+#include <camphorreach/evacuation.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/meshconfig.h>
 #include <camphorreach/netaddress.h>
@@ -21,7 +22,7 @@
 using StoreCallId = Strong<struct StoreCallIdTag, std::uint64_t>;
 
 /// Kinds of objects in the store. `Nodes` is defined and written by this system.
-enum class StoreKind : std::uint8_t { Configuration, Rollouts, Nodes };
+enum class StoreKind : std::uint8_t { Configuration, Rollouts, Nodes, Evacuations };
 
 /// Registration of a node, with the address at which other nodes reach it, and the departures that
 /// it has acknowledged to its backend servers.
@@ -83,8 +84,8 @@
 };
 
 /// std::monostate stands for an object that could not be decoded, for example from another writer.
-using StoreValue
-    = std::variant<std::monostate, std::shared_ptr<const MeshConfig>, RolloutOrder, NodeRecord>;
+using StoreValue = std::variant<std::monostate, std::shared_ptr<const MeshConfig>, RolloutOrder,
+                                NodeRecord, EvacuationOrder>;
 
 /// The current state of an object, or a notice of its removal.
 struct StoreEntry
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -153,10 +153,16 @@
     archive(order.service, order.target, order.ramp, order.state, order.version);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, EvacuationOrder &order)
+{
+    archive(order.domain, order.version, order.isActive);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, CatalogVersions &versions)
 {
-    archive(versions.config, versions.orders);
+    archive(versions.config, versions.orders, versions.evacuations);
 }
 
 template <typename Archive>
@@ -174,7 +180,7 @@
 template <typename Archive>
 void serialize(Archive &archive, CatalogUpdate &update)
 {
-    archive(update.versions, update.config, update.orders, update.staleness);
+    archive(update.versions, update.config, update.orders, update.staleness, update.evacuations);
 }
 
 template <typename Archive>
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -64,6 +64,8 @@
     std::optional<TimePoint> byStore;
     if (m_configInformer.freshAsOf && m_rolloutInformer.freshAsOf)
         byStore = std::min(*m_configInformer.freshAsOf, *m_rolloutInformer.freshAsOf);
+    if (m_options.readsEvacuations)
+        byStore = std::min(byStore, m_evacuationInformer.freshAsOf); // empty compares as less
     return std::max(byStore, m_peerFreshAsOf); // an empty optional compares as less
 }
 
@@ -94,7 +96,7 @@
     const bool watched = std::exchange(m_isWatching, isWatcher(now));
     if (watched || !m_isWatching)
         return;
-    for (Informer *informer : { &m_configInformer, &m_rolloutInformer }) {
+    for (Informer *informer : watchingInformers()) {
         if (std::exchange(informer->isSuperseded, false))
             informer->resourceVersion.reset();
         informer->nextCall = std::min(informer->nextCall.value_or(now), now);
@@ -108,7 +110,7 @@
         onRegistrationReply(reply.result, now, outbox);
         return;
     }
-    for (Informer *informer : { &m_configInformer, &m_rolloutInformer, &m_nodeInformer }) {
+    for (Informer *informer : informers()) {
         if (informer->pendingCall && informer->pendingCall->id == reply.id)
             return onInformerReply(*informer, reply, now, outbox);
         if (std::ranges::find(informer->overdueCalls, reply.id, &PendingCall::id)
@@ -124,9 +126,10 @@
         informer.pendingCall->overdueAt = TimePoint::max(); // the endpoint limits the rest
         return;
     }
+    const Read read = informer.pendingCall->read;
     informer.pendingCall.reset();
     if (auto *entries = std::get_if<StoreEntries>(&reply.result))
-        onEntries(informer, *entries, now, outbox);
+        onEntries(informer, read, *entries, now, outbox);
     else
         onFailure(informer, reply.result, now);
 }
@@ -140,16 +143,20 @@
         return;
     const auto call = std::ranges::find(informer.overdueCalls, reply.id, &PendingCall::id);
     const TimePoint sentAt = call->sentAt;
+    const Read read = call->read;
     informer.overdueCalls.erase(call);
     auto *entries = std::get_if<StoreEntries>(&reply.result);
     if (entries == nullptr) {
         ++m_failedCalls;
         return;
     }
+    // The pages before it were dropped when the call was overdue.
+    if (informer.kind == StoreKind::Evacuations && read == Read::NextPage)
+        return;
     informer.pendingCall.reset();
     informer.overdueCalls.clear();
     const auto freshBefore = informer.freshAsOf;
-    onEntries(informer, *entries, now, outbox);
+    onEntries(informer, read, *entries, now, outbox);
     informer.freshAsOf = std::max(freshBefore, std::optional(sentAt));
 }
 
@@ -214,7 +221,7 @@
         emitCall(*m_registrationCall, StoreRegister { record }, outbox);
 }
 
-void Catalog::onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
+void Catalog::onEntries(Informer &informer, Read read, StoreEntries &entries, TimePoint now,
                         Outbox<Output> &outbox)
 {
     informer.failures = 0;
@@ -246,8 +253,39 @@
         onNodesListed(informer, now, outbox);
     else if (!hasMore)
         onLastPage(informer, entries.resourceVersion, configs, isNewer, now);
+    const bool haveEvacuationsChanged = informer.kind == StoreKind::Evacuations
+        && applyEvacuations(read, entries, hasMore, outbox);
     const bool hasConfigChanged = newest && apply(*newest, now, outbox);
-    publishChanges(haveOrdersChanged, hasConfigChanged, now, outbox);
+    publishChanges(haveOrdersChanged, hasConfigChanged || haveEvacuationsChanged, now, outbox);
+}
+
+// A list is applied as a whole, as of its first page: what is not in it was taken back.
+bool Catalog::applyEvacuations(Read read, const StoreEntries &entries, bool hasMore,
+                               Outbox<Output> &outbox)
+{
+    bool haveChanged = false;
+    if (read == Read::Watch) {
+        haveChanged = m_evacuations.applyEvents(entries.entries, entries.resourceVersion);
+    } else {
+        if (read == Read::List || !m_listedEvacuations)
+            m_listedEvacuations = StoreEntries { {}, entries.resourceVersion };
+        auto &listed = m_listedEvacuations->entries;
+        listed.insert(listed.end(), entries.entries.begin(), entries.entries.end());
+        if (hasMore)
+            return false;
+        const StoreEntries list = *std::exchange(m_listedEvacuations, std::nullopt);
+        haveChanged = m_evacuations.applyList(list.entries, list.resourceVersion);
+    }
+    publishEvacuations(haveChanged, outbox);
+    return haveChanged;
+}
+
+void Catalog::publishEvacuations(bool haveChanged, Outbox<Output> &outbox)
+{
+    m_areEvacuationsKnown = true;
+    if (haveChanged)
+        outbox.emit(EvacuationsChanged {
+            std::make_shared<const std::set<FailureDomain>>(m_evacuations.activeDomains()) });
 }
 
 // A watch returns every version in full. When a reply holds more than one, the node lists instead,
@@ -311,6 +349,8 @@
     informer.cursor.clear();
     if (informer.kind == StoreKind::Nodes)
         m_listedNodes.clear();
+    else if (informer.kind == StoreKind::Evacuations)
+        m_listedEvacuations.reset();
 }
 
 // While the store fails, the nodes that have taken over from the watchers of their failure domain
@@ -335,6 +375,9 @@
 
 void Catalog::emitSnapshot(Outbox<Output> &outbox)
 {
+    m_isSnapshotHeld = m_options.readsEvacuations && !m_areEvacuationsKnown;
+    if (m_isSnapshotHeld)
+        return;
     outbox.emit(SnapshotChanged { snapshotOf(m_config.config(), m_options.retryBudget) });
 }
 
@@ -352,7 +395,7 @@
     if (!m_startedAt)
         m_startedAt = now;
     updateWatch(now);
-    for (Informer *informer : { &m_configInformer, &m_rolloutInformer, &m_nodeInformer }) {
+    for (Informer *informer : informers()) {
         if (informer->pendingCall && now >= informer->pendingCall->overdueAt)
             onOverdue(*informer, now);
         if (isDue(*informer, now))
@@ -360,9 +403,33 @@
     }
     if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration)
         writeRecord(outbox);
+    releaseSnapshot(now, outbox);
     advanceSpread(now, outbox);
 }
 
+void Catalog::releaseSnapshot(TimePoint now, Outbox<Output> &outbox)
+{
+    if (!m_isSnapshotHeld || (!m_areEvacuationsKnown && now < snapshotReleaseTime()))
+        return;
+    m_areEvacuationsKnown = true;
+    emitSnapshot(outbox);
+}
+
+std::vector<Catalog::Informer *> Catalog::watchingInformers()
+{
+    std::vector<Informer *> result { &m_configInformer, &m_rolloutInformer };
+    if (m_options.readsEvacuations)
+        result.push_back(&m_evacuationInformer);
+    return result;
+}
+
+std::vector<Catalog::Informer *> Catalog::informers()
+{
+    std::vector<Informer *> result = watchingInformers();
+    result.push_back(&m_nodeInformer);
+    return result;
+}
+
 bool Catalog::isDue(const Informer &informer, TimePoint now) const
 {
     return !informer.pendingCall && informer.overdueCalls.size() < maxOverdueCalls
@@ -387,15 +454,16 @@
     const StoreCallId id(m_nextCallId++);
     if (informer.kind == StoreKind::Nodes) {
         // Lists of nodes are not urgent, and may be long.
-        informer.pendingCall = { id, now, TimePoint::max() };
+        informer.pendingCall = { id, Read::List, now, TimePoint::max() };
         emitCall(id, StoreList { informer.kind, informer.cursor, m_spread.hasDomainPeers() },
                  outbox);
     } else if (informer.resourceVersion && isWatcher(now)) {
         const Duration wait = watchWait();
-        informer.pendingCall = { id, now, now + wait + responseTime };
+        informer.pendingCall = { id, Read::Watch, now, now + wait + responseTime };
         emitCall(id, StoreWatch { informer.kind, *informer.resourceVersion, wait }, outbox);
     } else {
-        informer.pendingCall = { id, now, now + responseTime };
+        const Read read = informer.cursor.empty() ? Read::List : Read::NextPage;
+        informer.pendingCall = { id, read, now, now + responseTime };
         emitCall(id, StoreList { informer.kind, informer.cursor, false }, outbox);
     }
 }
@@ -414,7 +482,7 @@
 
 CatalogVersions Catalog::heldVersions() const
 {
-    CatalogVersions result { version(), {} };
+    CatalogVersions result { version(), {}, m_evacuations.version() };
     for (const auto &[service, order] : m_orders)
         result.orders = std::max(result.orders, order.version);
     return result;
@@ -442,7 +510,12 @@
     TimePoint next = m_spread.nextDeadline();
     if (!m_isWatching)
         next = std::min(next, takeoverTime());
-    for (const Informer *informer : { &m_configInformer, &m_rolloutInformer, &m_nodeInformer }) {
+    if (m_isSnapshotHeld)
+        next = std::min(next, snapshotReleaseTime());
+    for (const Informer *informer :
+         { &m_configInformer, &m_rolloutInformer, &m_nodeInformer, &m_evacuationInformer }) {
+        if (informer->kind == StoreKind::Evacuations && !m_options.readsEvacuations)
+            continue;
         if (informer->pendingCall)
             next = std::min(next, informer->pendingCall->overdueAt);
         else if (informer->nextCall && informer->overdueCalls.size() < maxOverdueCalls)
--- a/src/filters/configuration/catalogexchange.cpp
+++ b/src/filters/configuration/catalogexchange.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t maxDatagramUpdateBytes = 1200;
 constexpr std::size_t fixedUpdateBytes = 64;
 constexpr std::size_t fixedOrderBytes = 40;
+constexpr std::size_t fixedEvacuationBytes = 13;
 
 Transport transportOf(const CatalogUpdate &update)
 {
@@ -28,6 +29,8 @@
         bytes += encodedSizeBound(*update.config);
     for (const RolloutOrder &order : update.orders)
         bytes += fixedOrderBytes + order.service.value().size() + order.target.value().size();
+    for (const EvacuationOrder &order : update.evacuations)
+        bytes += fixedEvacuationBytes + order.domain.value().size();
     return bytes <= maxDatagramUpdateBytes ? Transport::Datagram : Transport::Stream;
 }
 
@@ -70,7 +73,8 @@
     if (request.versions.isBehind(own)) {
         const CatalogDigest digest = ownDigest(now);
         CatalogUpdate update { own, std::nullopt, ordersSince(request.versions.orders),
-                               digest.staleness };
+                               digest.staleness,
+                               m_evacuations.since(request.versions.evacuations) };
         if (request.versions.config < own.config)
             update.config = m_config.deltaSince(request.versions.config);
         if (m_spread.admitUpdate(from, update, now)) {
@@ -88,18 +92,23 @@
                        Outbox<Output> &outbox)
 {
     const auto pullSentAt = m_spread.finishPull(from);
+    bool haveEvacuationsChanged = false;
+    for (const EvacuationOrder &order : update.evacuations)
+        haveEvacuationsChanged = m_evacuations.apply(order) || haveEvacuationsChanged;
+    publishEvacuations(haveEvacuationsChanged, outbox);
     bool haveOrdersChanged = false;
     for (const RolloutOrder &order : update.orders)
         haveOrdersChanged = apply(order) || haveOrdersChanged;
     const bool hasConfigChanged = update.config && apply(from, *update.config, now, outbox);
     m_configInformer.isSuperseded = m_configInformer.isSuperseded || hasConfigChanged;
     m_rolloutInformer.isSuperseded = m_rolloutInformer.isSuperseded || haveOrdersChanged;
+    m_evacuationInformer.isSuperseded = m_evacuationInformer.isSuperseded || haveEvacuationsChanged;
     // The update may have been delayed in transit, but it was created after the pull was sent.
     if (pullSentAt && update.staleness >= Duration::zero())
         updateFreshness(update.versions,
                         *pullSentAt - std::min(update.staleness, unknownStaleness));
     m_spread.updateCandidate(from, update.versions, heldVersions());
-    publishChanges(haveOrdersChanged, hasConfigChanged, now, outbox);
+    publishChanges(haveOrdersChanged, hasConfigChanged || haveEvacuationsChanged, now, outbox);
 }
 
 void Catalog::updateFreshness(const CatalogVersions &theirs, TimePoint asOf)
@@ -125,13 +134,13 @@
     return true;
 }
 
-void Catalog::publishChanges(bool haveOrdersChanged, bool hasConfigChanged, TimePoint now,
+void Catalog::publishChanges(bool haveOrdersChanged, bool hasOtherChanged, TimePoint now,
                              Outbox<Output> &outbox)
 {
     if (haveOrdersChanged)
         outbox.emit(OrdersChanged { ordersSince({}) });
     CatalogSpread::Sends sends;
-    if (hasConfigChanged || haveOrdersChanged)
+    if (hasOtherChanged || haveOrdersChanged)
         m_spread.pushDigest(ownDigest(now), sends);
     pull(now, sends);
     emit(std::move(sends), outbox);
@@ -150,6 +159,11 @@
         && now < *m_startedAt + startupStoreTimeout;
 }
 
+TimePoint Catalog::snapshotReleaseTime() const
+{
+    return m_startedAt.value_or(TimePoint {}) + startupStoreTimeout;
+}
+
 CatalogDigest Catalog::ownDigest(TimePoint now) const
 {
     const Duration onArrival = staleness(now).value_or(unknownStaleness) + transitAllowance;
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -90,6 +90,10 @@
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
             [&](EgressBacklogChanged &changed) { m_egress.onBacklog(changed, now); },
             [&](DrainStarted &) { m_isDraining = true; },
+            [&](BackendEvacuated &evacuated) {
+                m_isEvacuated = evacuated.isEvacuated;
+                reviewQueues(now, outbox);
+            },
             [&](SnapshotChanged &changed) {
                 m_snapshot = std::move(changed.snapshot);
                 updateWarmUpPolicy(now);
@@ -152,7 +156,7 @@
     const ForwardRequest &request = work.request;
     const bool isMisrouted = !m_server.value().empty()
         && (request.service != m_service || request.version != m_version);
-    if (m_isDraining || m_isBackendLeaving || !m_isAccepting || isMisrouted)
+    if (m_isDraining || m_isBackendLeaving || !m_isAccepting || m_isEvacuated || isMisrouted)
         return NotRun { NotRunReason::Draining };
     if (!m_isReachable)
         return NotRun { NotRunReason::Unreachable };
@@ -503,8 +507,8 @@
 
 void Gate::fillSlots(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_isReachable || !m_isAccepting || m_isolatedCall || !m_coldStart.mayStart(now)
-        || scheduleIsolated(now, outbox))
+    if (!m_isReachable || !m_isAccepting || m_isEvacuated || m_isolatedCall
+        || !m_coldStart.mayStart(now) || scheduleIsolated(now, outbox))
         return;
     while (m_running.size() < m_slots && m_coldStart.mayStart(now)) {
         std::optional<GateWork> work = nextWork(now);
--- a/src/filters/requests/placement.cpp
+++ b/src/filters/requests/placement.cpp
@@ -30,6 +30,20 @@
     updateTargets(now);
     (void)takeEndedEjections(now); // the caller dispatches queued requests after an update anyway
     m_owners.update(m_table, now);
+    updateIndex();
+}
+
+template <BalancingPolicy Policy>
+void Placement<Policy>::update(std::shared_ptr<const std::set<FailureDomain>> evacuated)
+{
+    m_evacuated = std::move(evacuated);
+    if (m_table)
+        updateIndex();
+}
+
+template <BalancingPolicy Policy>
+void Placement<Policy>::updateIndex()
+{
     std::string region;
     for (const auto &[name, endpoints] : m_table->services) {
         const auto own = std::ranges::find(endpoints, m_domain, &Endpoint::domain);
@@ -40,7 +54,7 @@
     for (const auto &[name, endpoints] : m_table->services) {
         ServiceIndex &index = m_index[name];
         for (const Endpoint &endpoint : endpoints) {
-            if (endpoint.state == EndpointState::Draining)
+            if (endpoint.state == EndpointState::Draining || isEvacuated(endpoint))
                 continue;
             const Backend backend { &endpoint, &m_targets.at(endpoint.peer) };
             index.versions[endpoint.version][tierOf(endpoint, region)].push_back(backend);
@@ -191,6 +205,9 @@
     case KeyOwners::Owner::Kind::Present:
         break;
     }
+    // No other instance may run the key, so it waits for the end of the evacuation.
+    if (isEvacuated(*owner.endpoint))
+        return PlacementFailure::NoEndpoint;
     // An ejected owner is used too: no other instance may run the key.
     const auto target = m_targets.find(owner.endpoint->peer);
     if (target == m_targets.end())
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -66,6 +66,10 @@
                        m_placement.update(std::move(changed.shares));
                        dispatchAll(now, outbox);
                    },
+                   [&](EvacuationsChanged &changed) {
+                       m_placement.update(std::move(changed.domains));
+                       dispatchAll(now, outbox);
+                   },
                },
                input);
 }
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -24,6 +24,7 @@
 // short messages that are not delayed.
 constexpr double usableEgressShare = 0.85;
 constexpr double bytesPerMegabit = 125'000;
+constexpr std::size_t maxNamedDomains = 8; // in a log line
 
 } // namespace
 
@@ -69,6 +70,19 @@
     return options;
 }
 
+std::string toText(const EvacuationsChanged &changed)
+{
+    std::string names;
+    std::size_t named = 0;
+    for (const FailureDomain &domain : *changed.domains) {
+        if (named++ == maxNamedDomains)
+            break;
+        names += (names.empty() ? "" : ",") + domain.value();
+    }
+    return "event=evacuations-in-force count=" + std::to_string(changed.domains->size())
+        + " failure-domains=" + names;
+}
+
 std::string toText(const ConfigurationReceived &received)
 {
     return "event=configuration-heard version=" + std::to_string(received.version.value())
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -24,6 +24,7 @@
              { "not_run", counts.notRun },
              { "unknown", counts.unknown },
              { "retries", counts.retries },
+             { "evacuated_domains", router.placement().evacuatedDomainCount() },
              { "unmatched_answers", counts.unmatchedAnswers } };
 }
 
@@ -84,6 +85,7 @@
              { "shed", counts.shed },
              { "egress_refused", counts.egressRefused },
              { "cold_refused", counts.coldRefused },
+             { "is_evacuated", gate.isEvacuated() },
              { "is_limited_by_cold_start", gate.isLimitedByColdStart() },
              { "late_results", counts.lateResults },
              { "key_hits", counts.keyHits },
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -66,6 +66,12 @@
     reader.reportUnknown();
 }
 
+void readEvacuation(SidecarSettings &settings, impl::TomlReader reader)
+{
+    settings.evacuationTime = readMs(reader, "within-ms", std::chrono::seconds(5));
+    reader.reportUnknown();
+}
+
 } // namespace
 
 Result<SidecarSettings> parseSidecarSettings(std::string_view text, const std::string &file)
@@ -78,6 +84,8 @@
             impl::readShared(settings, root);
             if (root.contains("retries"))
                 readRetries(settings, root.table("retries"));
+            if (root.contains("evacuation"))
+                readEvacuation(settings, root.table("evacuation"));
         });
 }
 
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -86,6 +86,7 @@
                            [&](ConfigurationReceived &event) { received.push_back(event); },
                            [&](DeparturesRestored &event) { restored = event.departures; },
                            [&](DeparturesStored &event) { stored = event.departures; },
+                           [](EvacuationsChanged &) {}, // evacuationtest.cpp
                        },
                        output);
         }
