--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -54,6 +54,8 @@
 /// The part of the outgoing bandwidth that messages may use.
 [[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
+/// The log line of a change of the evacuated failure domains.
+[[nodiscard]] std::string toText(const EvacuationsChanged &changed);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
 /// The settings of the backend server, with the current time as that of reading.
 [[nodiscard]] LocalServerSettings readNow(LocalServerSettings settings);
@@ -148,8 +150,10 @@
                maxBackendConnections, warmConnections, usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(selfEndpoint(settings),
-                                    Catalog::Options { settings.retries.ratio }, m_catalogRandom),
+          std::make_unique<Catalog>(
+              selfEndpoint(settings),
+              Catalog::Options { settings.retries.ratio, settings.evacuationTime.has_value() },
+              m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlCapacity,
           controlReserve),
       m_rollouts(
@@ -236,11 +240,18 @@
                            + " routes=" + std::to_string(changed.snapshot->hostRoutes.size()));
                 m_path.clients().setLimits(changed.snapshot->limits);
                 m_localServer.ring().push(changed);
+                m_path.gate().ring().push(changed);
                 m_path.router().ring().push(std::move(changed));
                 m_hasConfiguration = true;
             },
             [this](const ConfigurationReceived &received) { m_log.info(toText(received)); },
             [this](OrdersChanged &changed) { m_rollouts.ring().push(std::move(changed)); },
+            [this](EvacuationsChanged &changed) {
+                m_log.info(toText(changed));
+                m_path.gate().ring().push(
+                    BackendEvacuated { changed.domains->contains(m_settings.domain) });
+                m_path.router().ring().push(std::move(changed));
+            },
             [this](JoinPeers &join) { (void)m_path.membership().ring().tryPush(std::move(join)); },
             [this](DeparturesRestored &restored) {
                 m_localServer.ring().push(std::move(restored));
@@ -288,9 +299,12 @@
 template <PlatformDialect Dialect>
 void MeshNode<Dialect>::onBackendAnnounced(BackendAnnounced &&announced)
 {
-    m_log.info("event=backend-announced server=" + announced.server.value()
-               + " service=" + announced.service.value() + " version=" + announced.version.value()
-               + " accepting=" + (announced.isAccepting ? "1" : "0"));
+    m_log.info(
+        "event=backend-announced server=" + announced.server.value()
+        + " service=" + announced.service.value() + " version=" + announced.version.value()
+        + " accepting=" + (announced.isAccepting ? "1" : "0") + " warm-up-ms="
+        + std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(announced.warmUpLeft).count()));
     m_path.membership().ring().push(SelfChanged { announced.service, announced.version,
                                                   announced.slots, announced.isAccepting });
     m_path.gate().ring().push(std::move(announced));
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -122,10 +122,16 @@
     archive(limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, WarmUpPolicy &policy)
+{
+    archive(policy.duration, policy.rate);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, MeshService &service)
 {
-    archive(service.name, service.maxConnections);
+    archive(service.name, service.maxConnections, service.warmUp);
 }
 
 template <typename Archive>
@@ -147,10 +153,16 @@
     archive(order.service, order.target, order.ramp, order.state, order.version);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, EvacuationOrder &order)
+{
+    archive(order.domain, order.version, order.isActive);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, CatalogVersions &versions)
 {
-    archive(versions.config, versions.orders);
+    archive(versions.config, versions.orders, versions.evacuations);
 }
 
 template <typename Archive>
@@ -168,7 +180,7 @@
 template <typename Archive>
 void serialize(Archive &archive, CatalogUpdate &update)
 {
-    archive(update.versions, update.config, update.orders, update.staleness);
+    archive(update.versions, update.config, update.orders, update.staleness, update.evacuations);
 }
 
 template <typename Archive>
