Carry organisations, their keys and quotas in the configuration

This commit holds only types, formats and settings; nothing decides by them yet.

Change: Organisation, RequestQuota and ApiKey; ConfigDelta carries the organisations that changed, by the same map as routes (VersionedMap, taken out of VersionedConfig), so that a change of one key sends one organisation. Settings in [organisations], present only where the deployment states a quota window.

--- a/include/camphorreach/ids.h
+++ b/include/camphorreach/ids.h
@@ -16,6 +16,10 @@
 using ServiceName = Strong<struct ServiceNameTag, std::string>;
 /// Name of a route inside a service.
 using RouteName = Strong<struct RouteNameTag, std::string>;
+/// Name of an organisation, such as "ice-depot-3".
+using OrganisationName = Strong<struct OrganisationNameTag, std::string>;
+/// Secret that identifies the organisation of a request. Never logged, dumped or passed on.
+using ApiKey = Strong<struct ApiKeyTag, std::string>;
 /// Version label of a backend server, such as "v2".
 using BackendVersion = Strong<struct BackendVersionTag, std::string>;
 /// Version of the configuration. Zero means that there is none yet.
--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <camphorreach/ids.h>
+#include <camphorreach/organisation.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/snapshot.h>
 
@@ -27,6 +28,7 @@
     std::vector<HostRoute> routes;
     std::vector<MeshService> services;
     HttpLimits limits;
+    std::vector<Organisation> organisations {}; ///< Empty: requests need no key.
 
     friend bool operator==(const MeshConfig &, const MeshConfig &) = default;
 };
--- a/include/camphorreach/outcome.h
+++ b/include/camphorreach/outcome.h
@@ -34,6 +34,9 @@
     BackendRefused, ///< The backend server rejected the request without running it.
     KeyReused, ///< The idempotency key was used for a request with other content.
     EgressFull, ///< The long response would wait too long for the bandwidth of the machine.
+    UnknownKey, ///< The request needs a key that belongs to an organisation.
+    KeyUnproven, ///< This node's configuration is too old to decide whether the key is valid.
+    OverQuota, ///< The organisation has used up its quota.
 };
 
 /// No backend server can have started the request.
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -58,6 +58,7 @@
     RequestContent content;
     ClientAttemptId attemptId {};
     ServiceName caller {}; ///< Service of the node that accepted the request.
+    ApiKey apiKey {}; ///< As sent by the client; empty when there is none.
 };
 
 /// The client closed its connection before the response was sent.
@@ -95,6 +96,7 @@
     RequestContent content;
     ClientAttemptId attemptId {};
     ServiceName caller {};
+    OrganisationName organisation {}; ///< Empty when the request needed no key.
 
     friend bool operator==(const ForwardRequest &, const ForwardRequest &) = default;
 };
--- a/include/camphorreach/routetable.h
+++ b/include/camphorreach/routetable.h
@@ -26,6 +26,8 @@
     Duration targetLatency {}; ///< A later response is worth less; zero when not set.
     /// Whether a request may go to another failure domain when this one has no capacity left.
     bool maySpill = true;
+    /// Requests need no key, also when the configuration has organisations.
+    bool isKeyExempt = false;
 
     friend bool operator==(const RoutePolicy &, const RoutePolicy &) = default;
 };
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -8,6 +8,7 @@
 #include <camphorreach/units.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,18 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/// How strictly quotas and the withdrawal of keys bind.
+struct OrganisationSettings
+{
+    /// No request that a client sends later than this after its key was withdrawn may run, also
+    /// at nodes that are cut off. Empty: keys are withdrawn like any other change.
+    std::optional<Duration> revocation {};
+    /// Requests beyond a quota that are tolerated in a window: a share of the quota, and a count.
+    Duration quotaWindow = std::chrono::seconds(5);
+    Share quotaExcess = Share::fromFraction(0.1);
+    std::uint32_t quotaSlack = 20;
+};
+
 struct SidecarSettings : ProcessSettings
 {
     NetAddress readyAddress; ///< Serves readiness, state dump and metrics.
@@ -31,6 +44,7 @@
     /// Time from the request to stop until the platform kills the process.
     Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
+    OrganisationSettings organisations;
     std::uint32_t memoryMb = 256; ///< Bounds the size of buffers.
     double linkMbps = 0; ///< Bandwidth of the machine in Mbit/s; zero when not known.
 };
--- a/include/camphorreach/snapshot.h
+++ b/include/camphorreach/snapshot.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/ids.h>
+#include <camphorreach/organisation.h>
 #include <camphorreach/request.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/units.h>
@@ -55,6 +56,7 @@
     /// Routes selected by host and path; empty if clients name the service.
     RouteTable hostRoutes {};
     HttpLimits limits {};
+    std::vector<Organisation> organisations {}; ///< Empty: requests need no key.
 
     [[nodiscard]] const ServicePolicy *findService(const ServiceName &name) const noexcept;
 };
--- a/include/camphorreach/versionedconfig.h
+++ b/include/camphorreach/versionedconfig.h
@@ -1,14 +1,16 @@
 // Versioned configuration: the newest configuration that a node holds, with the version of the last
-// change of every route, so that a node with an older version is sent only a delta.
+// change of every route and organisation, so that a node with an older version is sent only a
+// delta.
 #pragma once
 
 #include <camphorreach/ids.h>
 #include <camphorreach/meshconfig.h>
 #include <camphorreach/routetable.h>
+#include <camphorreach/versionedmap.h>
 
 #include <compare>
 #include <cstddef>
-#include <map>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,8 @@
     std::vector<RouteKey> removed;
     std::vector<MeshService> services; ///< All services, changed or not.
     HttpLimits limits;
+    std::vector<Organisation> organisations {}; ///< Added and changed ones, like `set`.
+    std::vector<OrganisationName> removedOrganisations {};
 
     [[nodiscard]] bool isComplete() const noexcept { return base == ConfigVersion(); }
     friend bool operator==(const ConfigDelta &, const ConfigDelta &) = default;
@@ -68,24 +72,24 @@
     [[nodiscard]] ConfigDelta deltaSince(ConfigVersion base) const;
 
 private:
-    struct RouteEntry
+    struct RouteTraits
     {
-        HostRoute route;
-        ConfigVersion lastChanged; // it last changed at this version or an earlier one
+        static RouteKey keyOf(const HostRoute &route);
+        static std::uint64_t hashOf(const HostRoute &route);
+    };
+    struct OrganisationTraits
+    {
+        static OrganisationName keyOf(const Organisation &organisation);
+        static std::uint64_t hashOf(const Organisation &organisation);
     };
 
-    void replaceAll(std::map<RouteKey, RouteEntry> routes, ConfigVersion version);
-    void pruneRemovals();
     [[nodiscard]] Digest digest() const;
 
     ConfigVersion m_version;
-    std::map<RouteKey, RouteEntry> m_routes;
-    std::map<RouteKey, ConfigVersion> m_removed; // version of the removal; not in m_routes; bounded
-    ConfigVersion m_oldestBase; // m_removed has all removals after this version
+    VersionedMap<RouteKey, HostRoute, RouteTraits> m_routes;
+    VersionedMap<OrganisationName, Organisation, OrganisationTraits> m_organisations;
     std::vector<MeshService> m_services;
     HttpLimits m_limits;
-    // Sum of the hashes of m_routes, so that a delta only rehashes the routes that it changes.
-    std::uint64_t m_routeDigest = 0;
 };
 
 } // namespace camphorreach
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -53,7 +53,7 @@
     archive(request.id, request.service, request.route, request.kind, request.kindWeight,
             request.isIdempotent, request.version, request.budget, request.targetBudget,
             request.key, request.isFreshKey, request.depth, request.attempt, request.configVersion,
-            request.content, request.attemptId, request.caller);
+            request.content, request.attemptId, request.caller, request.organisation);
 }
 
 template <typename Archive>
@@ -101,7 +101,8 @@
 void serialize(Archive &archive, RoutePolicy &policy)
 {
     archive(policy.name, policy.prefix, policy.kind, policy.kindWeight, policy.isIdempotent,
-            policy.deadline, policy.maxAttempts, policy.targetLatency, policy.maySpill);
+            policy.deadline, policy.maxAttempts, policy.targetLatency, policy.maySpill,
+            policy.isKeyExempt);
 }
 
 template <typename Archive>
@@ -128,6 +129,18 @@
     archive(service.name, service.maxConnections);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, RequestQuota &quota)
+{
+    archive(quota.rate, quota.burst);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Organisation &organisation)
+{
+    archive(organisation.name, organisation.keys, organisation.weight, organisation.quota);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, RouteKey &key)
 {
@@ -138,7 +151,7 @@
 void serialize(Archive &archive, ConfigDelta &delta)
 {
     archive(delta.base, delta.version, delta.digest, delta.set, delta.removed, delta.services,
-            delta.limits);
+            delta.limits, delta.organisations, delta.removedOrganisations);
 }
 
 template <typename Archive>
--- a/src/filters/configuration/meshconfig.cpp
+++ b/src/filters/configuration/meshconfig.cpp
@@ -22,6 +22,7 @@
     snapshot->version = config.version;
     snapshot->hostRoutes = RouteTable(std::move(config.routes));
     snapshot->limits = config.limits;
+    snapshot->organisations = std::move(config.organisations);
     for (const MeshService &service : config.services) {
         ServicePolicy policy;
         policy.name = service.name;
--- a/src/pipelines/text.cpp
+++ b/src/pipelines/text.cpp
@@ -76,6 +76,12 @@
         return "backend-refused";
     case NotRunReason::EgressFull:
         return "egress-full";
+    case NotRunReason::UnknownKey:
+        return "unknown-key";
+    case NotRunReason::KeyUnproven:
+        return "key-unproven";
+    case NotRunReason::OverQuota:
+        return "over-quota";
     case NotRunReason::KeyReused:
         return "idempotency-key-reused";
     }
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -66,6 +66,19 @@
     reader.reportUnknown();
 }
 
+void readOrganisations(SidecarSettings &settings, impl::TomlReader reader)
+{
+    OrganisationSettings &organisations = settings.organisations;
+    if (reader.contains("revocation-ms"))
+        organisations.revocation = readMs(reader, "revocation-ms", std::chrono::seconds(5));
+    organisations.quotaWindow = readSeconds(reader, "quota-window-s", organisations.quotaWindow);
+    organisations.quotaExcess = Share::fromFraction(
+        reader.number("quota-excess", 0, 1, organisations.quotaExcess.fraction()));
+    organisations.quotaSlack = static_cast<std::uint32_t>(reader.integer(
+        "quota-slack", 0, std::numeric_limits<std::int32_t>::max(), organisations.quotaSlack));
+    reader.reportUnknown();
+}
+
 } // namespace
 
 Result<SidecarSettings> parseSidecarSettings(std::string_view text, const std::string &file)
@@ -78,6 +91,8 @@
             impl::readShared(settings, root);
             if (root.contains("retries"))
                 readRetries(settings, root.table("retries"));
+            if (root.contains("organisations"))
+                readOrganisations(settings, root.table("organisations"));
         });
 }
 
