Test deltas and settings of organisations

Change: a change of one key sends one organisation; a key that moves and an organisation that is removed; every field of an organisation, and the exemption of a route, is part of the digest; the size bound holds; the settings are read, and absent ones leave revocation lax.

--- a/tests/sidecarsettingstest.cpp
+++ b/tests/sidecarsettingstest.cpp
@@ -68,5 +68,28 @@
     CHECK(findings.find("retries.window-ms") != std::string::npos);
 }
 
+// Guards against strictness that nobody asked for, and against settings that are ignored.
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_organisations_areReadWhereTheyAreStated")
+{
+    const auto defaults = parseSidecarSettings(settingsWith("", ""), "node.toml");
+    REQUIRE(isOk(defaults));
+    CHECK_FALSE(valueOf(defaults).organisations.revocation);
+    const auto settings = parseSidecarSettings(
+        settingsWith("", "")
+            + "[organisations]\nrevocation-ms = 5000\nquota-window-s = 4\nquota-excess = 0.2\n"
+              "quota-slack = 30\n",
+        "node.toml");
+    REQUIRE(isOk(settings));
+    const OrganisationSettings &read = valueOf(settings).organisations;
+    CHECK(read.revocation == std::chrono::seconds(5));
+    CHECK(read.quotaWindow == std::chrono::seconds(4));
+    CHECK(read.quotaExcess == Share::fromFraction(0.2));
+    CHECK(read.quotaSlack == 30);
+    const std::string text
+        = findingsOf(settingsWith("", "") + "[organisations]\nrevocation = 5\nquota-excess = 2\n");
+    CHECK(text.find("revocation") != std::string::npos);
+    CHECK(text.find("quota-excess") != std::string::npos);
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/versionedconfigtest.cpp
+++ b/tests/versionedconfigtest.cpp
@@ -149,5 +149,113 @@
     }
 }
 
+class OrganisationsFixture : protected VersionedConfigFixture
+{
+protected:
+    static Organisation organisation(const std::string &name, std::vector<std::string> keys)
+    {
+        Organisation result { OrganisationName(name), {} };
+        for (std::string &key : keys)
+            result.keys.emplace_back(std::move(key));
+        return result;
+    }
+    static MeshConfig with(std::uint64_t version, std::vector<Organisation> organisations)
+    {
+        MeshConfig result = config(version, { route("a") });
+        result.organisations = std::move(organisations);
+        return result;
+    }
+};
+
+// Guards against a change of one key that sends all organisations.
+TEST_CASE_METHOD(OrganisationsFixture, "VersionedConfig_oneKeyChanges_deltaHasOnlyItsOrganisation")
+{
+    const auto quarry = organisation("quarry", { "k3" });
+    VersionedConfig sender = holding(with(3, { organisation("ice", { "k1" }), quarry }));
+    VersionedConfig receiver = holding(with(3, { organisation("ice", { "k1" }), quarry }));
+    const auto changed = organisation("ice", { "k1", "k2" });
+    REQUIRE(sender.apply(with(5, { changed, quarry })) == Effect::Applied);
+    const ConfigDelta delta = sender.deltaSince(ConfigVersion(3));
+    CHECK(delta.organisations == std::vector<Organisation> { changed });
+    CHECK(delta.removedOrganisations.empty());
+    CHECK(delta.set.empty());
+    REQUIRE(receiver.apply(delta) == Effect::Applied);
+    CHECK(receiver.config() == sender.config());
+}
+
+// Guards against a key that two organisations hold at a node that applied a delta.
+TEST_CASE_METHOD(OrganisationsFixture, "VersionedConfig_keyMovesAndOrganisationGoes_deltaHasBoth")
+{
+    const MeshConfig before
+        = with(3,
+               { organisation("ice", { "k1", "k2" }), organisation("quarry", { "k3" }),
+                 organisation("trucks", { "k4" }) });
+    VersionedConfig sender = holding(before);
+    VersionedConfig receiver = holding(before);
+    REQUIRE(sender.apply(
+                with(4, { organisation("ice", { "k1" }), organisation("quarry", { "k3", "k2" }) }))
+            == Effect::Applied);
+    const ConfigDelta delta = sender.deltaSince(ConfigVersion(3));
+    CHECK(delta.organisations.size() == 2);
+    CHECK(delta.removedOrganisations
+          == std::vector<OrganisationName> { OrganisationName("trucks") });
+    REQUIRE(receiver.apply(delta) == Effect::Applied);
+    CHECK(receiver.config() == sender.config());
+    CHECK(receiver.deltaSince(ConfigVersion(3)) == delta);
+}
+
+// Guards against any field of an organisation or a route that the digest leaves out, so that nodes
+// with different contents take themselves for equal.
+TEST_CASE_METHOD(OrganisationsFixture, "VersionedConfig_organisationsDiffer_deltaIsRejected")
+{
+    Organisation base = organisation("ice", { "k1" });
+    base.weight = 2;
+    base.quota = RequestQuota { RequestRate(10), RequestCount(5) };
+    std::vector<Organisation> others(5, base);
+    others[0].keys.front() = ApiKey("k2");
+    others[1].weight = 3;
+    others[2].weight.reset();
+    others[3].quota->burst = RequestCount(6);
+    others[4].quota.reset();
+    VersionedConfig sender = holding(with(3, { base }));
+    MeshConfig later = with(4, { base });
+    later.routes = { route("b") };
+    REQUIRE(sender.apply(later) == Effect::Applied);
+    for (const Organisation &other : others) {
+        VersionedConfig receiver = holding(with(3, { other }));
+        CHECK(receiver.apply(sender.deltaSince(ConfigVersion(3))) == Effect::Rejected);
+    }
+    MeshConfig exempt = with(3, { base });
+    exempt.routes.push_back(route("c"));
+    MeshConfig notExempt = exempt;
+    exempt.routes.back().policy.isKeyExempt = true;
+    VersionedConfig exemptSender = holding(exempt);
+    later.routes = { route("a"), exempt.routes.back() };
+    later.services.push_back({ ServiceName("trucks"), 1 });
+    REQUIRE(exemptSender.apply(later) == Effect::Applied);
+    CHECK(holding(notExempt).apply(exemptSender.deltaSince(ConfigVersion(3))) == Effect::Rejected);
+}
+
+TEST_CASE_METHOD(OrganisationsFixture,
+                 "VersionedConfig_sizeBoundWithOrganisations_isNotBelowTheEncodedSize")
+{
+    for (std::size_t count = 0; count < 20; ++count) {
+        std::vector<Organisation> organisations;
+        for (std::size_t i = 0; i < count; ++i) {
+            organisations.push_back(
+                organisation(std::string(i + 1, 'o'), std::vector<std::string>(i, "a-key")));
+            organisations.back().weight = 3;
+            organisations.back().quota = RequestQuota { RequestRate(10), RequestCount(5) };
+        }
+        VersionedConfig sender = holding(with(1, { organisation("gone", {}) }));
+        REQUIRE(sender.apply(with(2, organisations)) == Effect::Applied);
+        const ConfigDelta delta = sender.deltaSince(ConfigVersion(1));
+        const auto sizeOf = [](CatalogUpdate update) {
+            return impl::encodePayload({ {}, CatalogMessage(std::move(update)) }).size();
+        };
+        CHECK(sizeOf({ {}, delta, {}, {} }) - sizeOf({}) <= encodedSizeBound(delta));
+    }
+}
+
 } // namespace
 } // namespace camphorreach
