--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <camphorreach/catalogspread.h>
+#include <camphorreach/configproof.h>
 #include <camphorreach/departedrun.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
+#include <camphorreach/finding.h>
 #include <camphorreach/membership.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/random.h>
@@ -35,6 +37,14 @@
     std::optional<Duration> staleness {};
 };
 
+/// A version in the store is invalid, so the previous one stays in force. Until a valid one
+/// follows, the store gives no proof that this node's configuration is the newest one.
+struct ConfigurationRefused
+{
+    ConfigVersion version;
+    Findings findings;
+};
+
 /// Keeps a local copy of the configuration and the rollout orders in the platform's store,
 /// registers this node there with the departures that it has acknowledged, restores those of its
 /// earlier processes from there, and discovers other nodes. While the store cannot be reached,
@@ -50,12 +60,16 @@
     using Input = std::variant<StoreReply, PeerReceived<CatalogMessage>, EndpointsChanged,
                                DeparturesChanged>;
     using Output = std::variant<StoreCall, PeerSend, SnapshotChanged, OrdersChanged, JoinPeers,
-                                ConfigurationReceived, DeparturesRestored, DeparturesStored>;
+                                ConfigurationReceived, DeparturesRestored, DeparturesStored,
+                                ConfigurationRefused, ConfigurationProven, NewerConfigurationKnown>;
 
     struct Options
     {
         /// Maximum ratio of retries to requests of a service.
         Share retryBudget = Share::fromFraction(0.1);
+        /// With a value, proofs that the configuration is the newest one are kept young enough for
+        /// keys to be withdrawn within this time.
+        std::optional<Duration> revocation {};
     };
 
     Catalog(Endpoint self, Options options, RandomSource &random);
@@ -78,6 +92,9 @@
         StoreCallId id;
         TimePoint sentAt {};
         TimePoint overdueAt {}; // if no reply has begun until then, the store is not responding
+        TimePoint provesFrom {}; // sending time of the call for the first page
+        ConfigVersion heldAtStart {}; // when it was sent
+        std::optional<ObjectVersion> since {}; // of a watch
     };
 
     // Lists and watches one kind of object; lists again when the store has dropped the history.
@@ -93,6 +110,7 @@
         bool isSuperseded = false; // peers have sent changes newer than `resourceVersion`
         bool isCatchingUp = false; // a reply held several versions, so it lists only the newest
         std::optional<TimePoint> freshAsOf {}; // when the store held nothing newer
+        TimePoint listStartedAt {}; // sending time of the call for the first page of a list
     };
 
     void onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
@@ -104,8 +122,12 @@
     void onDepartures(const DeparturesChanged &changed, TimePoint now);
     void publishRestored(Outbox<Output> &outbox);
     void writeRecord(Outbox<Output> &outbox);
-    void onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
-                   Outbox<Output> &outbox);
+    void onEntries(Informer &informer, const PendingCall &call, StoreEntries &entries,
+                   TimePoint now, Outbox<Output> &outbox);
+    void recordProof(const PendingCall &call, ObjectVersion resourceVersion, ConfigVersion newest,
+                     TimePoint now);
+    [[nodiscard]] bool isUnreadableConfiguration(const StoreEntry &entry) const;
+    [[nodiscard]] bool isAccepted(const MeshConfig &config, Outbox<Output> &outbox);
     void onOverdue(Informer &informer, TimePoint now);
     void restartList(Informer &informer);
     void onLastPage(Informer &informer, ObjectVersion resourceVersion, std::size_t changes,
@@ -131,6 +153,12 @@
                         Outbox<Output> &outbox);
     void advanceSpread(TimePoint now, Outbox<Output> &outbox);
     void updateFreshness(const CatalogVersions &theirs, TimePoint asOf);
+    void onProofRequest(const NetAddress &from, const CatalogProofRequest &request, TimePoint now,
+                        Outbox<Output> &outbox);
+    void onProofReply(const NetAddress &from, const CatalogProofReply &reply, TimePoint now,
+                      Outbox<Output> &outbox);
+    void advanceProof(TimePoint now, Outbox<Output> &outbox);
+    void noteVersion(ConfigVersion named, Outbox<Output> &outbox);
     void pull(TimePoint now, CatalogSpread::Sends &sends);
     [[nodiscard]] bool waitsForStore(TimePoint now) const;
     [[nodiscard]] std::optional<TimePoint> freshAsOf() const;
@@ -144,7 +172,7 @@
     [[nodiscard]] std::vector<RolloutOrder> ordersSince(ObjectVersion version) const;
     void scheduleRetry(Informer &informer, TimePoint now);
     [[nodiscard]] bool isDue(const Informer &informer, TimePoint now) const;
-    [[nodiscard]] Duration watchWait();
+    [[nodiscard]] Duration watchWait(StoreKind kind);
     [[nodiscard]] Duration retryDelay(std::uint32_t failures);
 
     const Endpoint m_self;
@@ -170,6 +198,11 @@
     std::optional<TimePoint> m_peerFreshAsOf; // like freshAsOf of an informer, through peers
     TimePoint m_lastPeerMessage {};
     bool m_isWatching = true; // isWatcher() at the last update
+    ConfigProof m_proof;
+    std::string m_configName; // of the entry with the configuration; empty until one was read
+    ConfigVersion m_refusedVersion; // latest version with findings
+    ConfigVersion m_namedVersion; // newest that another node has named
+    const std::uint64_t m_keySeed;
     std::uint64_t m_nextCallId = 1;
     std::uint64_t m_failedCalls = 0;
 };
--- a/include/camphorreach/catalogmessage.h
+++ b/include/camphorreach/catalogmessage.h
@@ -5,6 +5,7 @@
 #include <camphorreach/units.h>
 #include <camphorreach/versionedconfig.h>
 
+#include <cstdint>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -56,6 +57,26 @@
     friend bool operator==(const CatalogUpdate &, const CatalogUpdate &) = default;
 };
 
-using CatalogMessage = std::variant<CatalogDigest, CatalogPull, CatalogUpdate>;
+/// Asks how long ago the receiver's configuration was proved to be the newest of the store. Sent
+/// only where the revocation of keys is strict.
+struct CatalogProofRequest
+{
+    std::uint64_t nonce = 0; ///< Repeated in the reply, which matches it to its question.
+
+    friend bool operator==(const CatalogProofRequest &, const CatalogProofRequest &) = default;
+};
+
+/// Reply to a proof request.
+struct CatalogProofReply
+{
+    std::uint64_t nonce = 0;
+    ConfigVersion version; ///< Held by the sender.
+    Duration age {}; ///< Of the sender's proof when the reply was created.
+
+    friend bool operator==(const CatalogProofReply &, const CatalogProofReply &) = default;
+};
+
+using CatalogMessage = std::variant<CatalogDigest, CatalogPull, CatalogUpdate, CatalogProofRequest,
+                                    CatalogProofReply>;
 
 } // namespace camphorreach
--- a/include/camphorreach/catalogspread.h
+++ b/include/camphorreach/catalogspread.h
@@ -32,6 +32,10 @@
     [[nodiscard]] std::size_t rank() const noexcept { return m_rank; }
     [[nodiscard]] bool hasDomainPeers() const noexcept { return !m_domainPeers.empty(); }
 
+    /// The node to ask for a proof after \a attempts questions without a useful answer: first those
+    /// that watch the store for this failure domain, then any others.
+    [[nodiscard]] std::optional<NetAddress> proofSource(unsigned attempts);
+
     /// Sends the digest of a changed copy to some nodes of the failure domain at once.
     void pushDigest(const CatalogDigest &own, Sends &sends);
     /// Replies to the digest of a node that is behind; a node that is ahead becomes a candidate for
@@ -82,6 +86,7 @@
     RandomSource &m_random;
     std::vector<NetAddress> m_domainPeers; // other nodes of this failure domain
     std::vector<NetAddress> m_remotePeers; // nodes of other failure domains
+    std::vector<NetAddress> m_actingPeers; // ready ones of this domain of the lowest addresses
     std::size_t m_rank = 0;
     std::deque<PullCandidate> m_candidates; // nodes that are ahead; bounded, every peer once
     std::optional<PendingPull> m_pendingPull;
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -59,6 +59,7 @@
 [[nodiscard]] LocalServerSettings readNow(LocalServerSettings settings);
 /// Formats the event as a log line.
 [[nodiscard]] std::string toText(const ConfigurationReceived &received);
+[[nodiscard]] std::string toText(const ConfigurationRefused &refused);
 
 /// Owns all threads and rings of one node.
 template <PlatformDialect Dialect>
@@ -148,8 +149,10 @@
                maxBackendConnections, warmConnections, usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(selfEndpoint(settings),
-                                    Catalog::Options { settings.retries.ratio }, m_catalogRandom),
+          std::make_unique<Catalog>(
+              selfEndpoint(settings),
+              Catalog::Options { settings.retries.ratio, settings.organisations.revocation },
+              m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlCapacity,
           controlReserve),
       m_rollouts(
@@ -248,6 +251,9 @@
             [this](const DeparturesStored &stored) {
                 m_storedDepartures.update(stored.departures);
             },
+            [this](const ConfigurationRefused &refused) { m_log.error(toText(refused)); },
+            [this](const ConfigurationProven &proof) { m_path.router().ring().push(proof); },
+            [this](const NewerConfigurationKnown &known) { m_path.router().ring().push(known); },
         },
         output);
 }
--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -2,6 +2,7 @@
 // limits.
 #pragma once
 
+#include <camphorreach/finding.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/organisation.h>
 #include <camphorreach/routetable.h>
@@ -37,7 +38,13 @@
 /// important; the lowest is one.
 [[nodiscard]] std::uint32_t weightForPriority(std::uint32_t priority) noexcept;
 
+/// What makes the organisations of \a config invalid; empty when they are valid. A configuration
+/// with findings is refused as a whole. The findings name no keys.
+[[nodiscard]] Findings findingsOf(const MeshConfig &config);
+
 /// Builds the snapshot that routes requests by \a config. \a retryBudget applies to every service.
-[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget);
+/// \a keySeed is the seed of the index of keys; it is random for every process.
+[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget,
+                                                         std::uint64_t keySeed = 0);
 
 } // namespace camphorreach
--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -31,6 +31,7 @@
     ServiceName serviceName {}; ///< From the request, or from the host route.
     const ServicePolicy *service = nullptr; ///< Inside `snapshot`.
     const RoutePolicy *route = nullptr; ///< Inside `snapshot`.
+    const Organisation *organisation = nullptr; ///< Inside `snapshot`; null if no key is needed.
     PlacementState placement {};
     std::optional<Current> current {};
     InstanceId lastTarget {}; ///< Of the latest attempt.
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -5,6 +5,7 @@
 #include <camphorreach/decision.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/filter.h>
+#include <camphorreach/identification.h>
 #include <camphorreach/moveshares.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/pendingrequest.h>
@@ -36,9 +37,9 @@
 class BasicRouter
 {
 public:
-    using Input
-        = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>, LinkDown,
-                       SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule>;
+    using Input = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>,
+                               LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
+                               DrainSchedule, ConfigurationProven, NewerConfigurationKnown>;
     using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
@@ -69,6 +70,8 @@
         /// limit.
         ByteCount spillBytesPerWeight {};
         RetryBudget::Limits retries {};
+        /// Time within which a withdrawn key must stop working; empty if it is not strict.
+        std::optional<Duration> revocation {};
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -89,6 +92,7 @@
     /// Requests queued for a target.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queue.size(); }
     [[nodiscard]] ConfigVersion configVersion() const noexcept;
+    [[nodiscard]] const Identification &identification() const noexcept { return m_identification; }
     [[nodiscard]] const Placement<Policy> &placement() const noexcept { return m_placement; }
 
 private:
@@ -100,6 +104,7 @@
     void onSnapshot(SnapshotChanged &&changed, TimePoint now, Outbox<Output> &outbox);
     void onDrain(const DrainSchedule &schedule);
     [[nodiscard]] bool resolve(PendingRequest &pending);
+    [[nodiscard]] std::optional<NotRun> identify(PendingRequest &pending, TimePoint now);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool trySend(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
@@ -138,6 +143,7 @@
     RandomSource &m_random; // seeded and owned by the code that builds the filter
     std::shared_ptr<const Snapshot> m_snapshot;
     Placement<Policy> m_placement;
+    Identification m_identification;
     RetryBudget m_retryBudget;
     RouteLatency m_routeLatencies;
     RouteBytes m_routeBytes;
--- a/include/camphorreach/snapshot.h
+++ b/include/camphorreach/snapshot.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/ids.h>
+#include <camphorreach/keyindex.h>
 #include <camphorreach/organisation.h>
 #include <camphorreach/request.h>
 #include <camphorreach/routetable.h>
@@ -57,6 +58,7 @@
     RouteTable hostRoutes {};
     HttpLimits limits {};
     std::vector<Organisation> organisations {}; ///< Empty: requests need no key.
+    KeyIndex keys {}; ///< Of `organisations`.
 
     [[nodiscard]] const ServicePolicy *findService(const ServiceName &name) const noexcept;
 };
--- a/include/camphorreach/versionedconfig.h
+++ b/include/camphorreach/versionedconfig.h
@@ -71,6 +71,8 @@
     /// zero or older than the recorded removals.
     [[nodiscard]] ConfigDelta deltaSince(ConfigVersion base) const;
 
+    [[nodiscard]] bool hasOrganisations() const noexcept { return m_organisations.size() > 0; }
+
 private:
     struct RouteTraits
     {
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -184,6 +184,18 @@
     archive(update.versions, update.config, update.orders, update.staleness);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, CatalogProofRequest &request)
+{
+    archive(request.nonce);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CatalogProofReply &reply)
+{
+    archive(reply.nonce, reply.version, reply.age);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, RolloutCounts &counts)
 {
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -43,7 +43,8 @@
 } // namespace
 
 Catalog::Catalog(Endpoint self, Options options, RandomSource &random)
-    : m_self(std::move(self)), m_options(options), m_random(random), m_spread(m_self, random)
+    : m_self(std::move(self)), m_options(options), m_random(random), m_spread(m_self, random),
+      m_proof(options.revocation, random), m_keySeed(random())
 { }
 
 void Catalog::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -79,7 +80,12 @@
     const auto asOf = freshAsOf();
     const TimePoint staleAt = asOf.value_or(m_startedAt.value_or(TimePoint {})) + maxStaleness
         + takeoverStagger * static_cast<Duration::rep>(m_spread.rank());
-    return std::min(m_lastPeerMessage + peerTimeout, staleAt);
+    const TimePoint next = std::min(m_lastPeerMessage + peerTimeout, staleAt);
+    if (!m_proof.isStrict())
+        return next;
+    return std::min(next,
+                    m_proof.asOf().value_or(m_startedAt.value_or(TimePoint {}))
+                        + m_proof.takeoverAge(m_spread.rank()));
 }
 
 bool Catalog::isWatcher(TimePoint now) const
@@ -124,9 +130,9 @@
         informer.pendingCall->overdueAt = TimePoint::max(); // the endpoint limits the rest
         return;
     }
-    informer.pendingCall.reset();
+    const PendingCall call = *std::exchange(informer.pendingCall, std::nullopt);
     if (auto *entries = std::get_if<StoreEntries>(&reply.result))
-        onEntries(informer, *entries, now, outbox);
+        onEntries(informer, call, *entries, now, outbox);
     else
         onFailure(informer, reply.result, now);
 }
@@ -138,9 +144,9 @@
 {
     if (std::holds_alternative<StoreReplyBegun>(reply.result))
         return;
-    const auto call = std::ranges::find(informer.overdueCalls, reply.id, &PendingCall::id);
-    const TimePoint sentAt = call->sentAt;
-    informer.overdueCalls.erase(call);
+    const auto found = std::ranges::find(informer.overdueCalls, reply.id, &PendingCall::id);
+    const PendingCall call = *found;
+    informer.overdueCalls.erase(found);
     auto *entries = std::get_if<StoreEntries>(&reply.result);
     if (entries == nullptr) {
         ++m_failedCalls;
@@ -149,8 +155,8 @@
     informer.pendingCall.reset();
     informer.overdueCalls.clear();
     const auto freshBefore = informer.freshAsOf;
-    onEntries(informer, *entries, now, outbox);
-    informer.freshAsOf = std::max(freshBefore, std::optional(sentAt));
+    onEntries(informer, call, *entries, now, outbox);
+    informer.freshAsOf = std::max(freshBefore, std::optional(call.sentAt));
 }
 
 void Catalog::onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox)
@@ -214,18 +220,27 @@
         emitCall(*m_registrationCall, StoreRegister { record }, outbox);
 }
 
-void Catalog::onEntries(Informer &informer, StoreEntries &entries, TimePoint now,
-                        Outbox<Output> &outbox)
+void Catalog::onEntries(Informer &informer, const PendingCall &call, StoreEntries &entries,
+                        TimePoint now, Outbox<Output> &outbox)
 {
     informer.failures = 0;
     bool haveOrdersChanged = false;
+    bool isEveryConfigAccepted = true; // and readable, up to the newest one
+    ConfigVersion newestSeen;
     std::size_t configs = 0;
     std::shared_ptr<const MeshConfig> newest;
     for (StoreEntry &entry : entries.entries) {
         if (auto *config = std::get_if<std::shared_ptr<const MeshConfig>>(&entry.value)) {
             ++configs;
-            if (!newest || newest->version < (*config)->version)
+            m_configName = entry.name;
+            if ((*config)->version <= newestSeen)
+                continue;
+            newestSeen = (*config)->version;
+            isEveryConfigAccepted = isAccepted(**config, outbox);
+            if (isEveryConfigAccepted)
                 newest = std::move(*config);
+        } else if (informer.kind == StoreKind::Configuration && isUnreadableConfiguration(entry)) {
+            isEveryConfigAccepted = false;
         } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
             haveOrdersChanged = apply(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
@@ -242,14 +257,53 @@
     const bool hasMore = entries.hasMore && lastName > informer.cursor;
     informer.cursor = hasMore ? lastName : std::string();
     const bool isNewer = newest && newest->version > version();
+    const ConfigVersion newestVersion = newest ? newest->version : ConfigVersion();
+    if (!hasMore && informer.kind == StoreKind::Configuration && isEveryConfigAccepted)
+        recordProof(call, entries.resourceVersion, newestVersion, now);
     if (!hasMore && informer.kind == StoreKind::Nodes)
         onNodesListed(informer, now, outbox);
     else if (!hasMore)
         onLastPage(informer, entries.resourceVersion, configs, isNewer, now);
+    if (!isEveryConfigAccepted && informer.nextCall && m_proof.isStrict()) {
+        // A watch from here on would prove nothing about what could not be read.
+        informer.resourceVersion.reset();
+        informer.nextCall = now + retryDelay(maxBackoffDoublings);
+    }
     const bool hasConfigChanged = newest && apply(*newest, now, outbox);
     publishChanges(haveOrdersChanged, hasConfigChanged, now, outbox);
 }
 
+// The reply has everything that was acknowledged before the call was sent, and shows nothing about
+// the time after: it may have been delayed, and a watch may have ended early.
+void Catalog::recordProof(const PendingCall &call, ObjectVersion resourceVersion,
+                          ConfigVersion newest, TimePoint now)
+{
+    const ConfigVersion needed = call.since ? std::max(newest, call.heldAtStart) : newest;
+    const bool isOlderState
+        = call.since ? resourceVersion < *call.since : newest < call.heldAtStart;
+    if (!isOlderState)
+        m_proof.record(call.provesFrom, needed, version(), now);
+}
+
+// Whether the entry may be the configuration, so that the copy may lack it.
+bool Catalog::isUnreadableConfiguration(const StoreEntry &entry) const
+{
+    const bool isOther = !entry.name.empty() && !m_configName.empty() && entry.name != m_configName;
+    return !entry.isRemoved && !isOther && std::holds_alternative<std::monostate>(entry.value);
+}
+
+bool Catalog::isAccepted(const MeshConfig &config, Outbox<Output> &outbox)
+{
+    Findings findings = findingsOf(config);
+    if (findings.empty())
+        return true;
+    if (config.version > m_refusedVersion) {
+        m_refusedVersion = config.version;
+        outbox.emit(ConfigurationRefused { config.version, std::move(findings) });
+    }
+    return false;
+}
+
 // A watch returns every version in full. When a reply holds more than one, the node lists instead,
 // which returns only the newest, until a list returns nothing newer. That way it is never behind by
 // more than the transfer time of one version.
@@ -335,7 +389,8 @@
 
 void Catalog::emitSnapshot(Outbox<Output> &outbox)
 {
-    outbox.emit(SnapshotChanged { snapshotOf(m_config.config(), m_options.retryBudget) });
+    outbox.emit(
+        SnapshotChanged { snapshotOf(m_config.config(), m_options.retryBudget, m_keySeed) });
 }
 
 bool Catalog::apply(const RolloutOrder &order)
@@ -361,6 +416,7 @@
     if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration)
         writeRecord(outbox);
     advanceSpread(now, outbox);
+    advanceProof(now, outbox);
 }
 
 bool Catalog::isDue(const Informer &informer, TimePoint now) const
@@ -385,25 +441,30 @@
         return;
     }
     const StoreCallId id(m_nextCallId++);
+    const bool isFirstPage = informer.cursor.empty();
+    if (isFirstPage)
+        informer.listStartedAt = now;
     if (informer.kind == StoreKind::Nodes) {
         // Lists of nodes are not urgent, and may be long.
-        informer.pendingCall = { id, now, TimePoint::max() };
+        informer.pendingCall = { id, now, TimePoint::max(), now };
         emitCall(id, StoreList { informer.kind, informer.cursor, m_spread.hasDomainPeers() },
                  outbox);
     } else if (informer.resourceVersion && isWatcher(now)) {
-        const Duration wait = watchWait();
-        informer.pendingCall = { id, now, now + wait + responseTime };
+        const Duration wait = watchWait(informer.kind);
+        informer.pendingCall
+            = { id, now, now + wait + responseTime, now, version(), informer.resourceVersion };
         emitCall(id, StoreWatch { informer.kind, *informer.resourceVersion, wait }, outbox);
     } else {
-        informer.pendingCall = { id, now, now + responseTime };
+        informer.pendingCall = { id, now, now + responseTime, informer.listStartedAt, version() };
         emitCall(id, StoreList { informer.kind, informer.cursor, false }, outbox);
     }
 }
 
 // At random, so that watches that an event has ended together do not end together again.
-Duration Catalog::watchWait()
+Duration Catalog::watchWait(StoreKind kind)
 {
-    return scaled(maxWatchWait,
+    const bool renewsProof = m_proof.isStrict() && kind == StoreKind::Configuration;
+    return scaled(renewsProof ? std::min(m_proof.watchWait(), maxWatchWait) : maxWatchWait,
                   minWatchWaitFraction + (1 - minWatchWaitFraction) * uniformFraction(m_random));
 }
 
@@ -442,6 +503,8 @@
     TimePoint next = m_spread.nextDeadline();
     if (!m_isWatching)
         next = std::min(next, takeoverTime());
+    if (const auto ask = m_proof.nextAsk())
+        next = std::min(next, *ask);
     for (const Informer *informer : { &m_configInformer, &m_rolloutInformer, &m_nodeInformer }) {
         if (informer->pendingCall)
             next = std::min(next, informer->pendingCall->overdueAt);
--- a/src/filters/configuration/catalogexchange.cpp
+++ b/src/filters/configuration/catalogexchange.cpp
@@ -48,6 +48,12 @@
             [&](const CatalogDigest &digest) { onDigest(received.from, digest, now, outbox); },
             [&](const CatalogPull &pull) { onPull(received.from, pull, now, outbox); },
             [&](const CatalogUpdate &update) { onUpdate(received.from, update, now, outbox); },
+            [&](const CatalogProofRequest &request) {
+                onProofRequest(received.from, request, now, outbox);
+            },
+            [&](const CatalogProofReply &reply) {
+                onProofReply(received.from, reply, now, outbox);
+            },
         },
         received.message);
 }
@@ -57,6 +63,7 @@
 {
     if (theirs.staleness >= Duration::zero())
         updateFreshness(theirs.versions, now - std::min(theirs.staleness, unknownStaleness));
+    noteVersion(theirs.versions.config, outbox);
     CatalogSpread::Sends sends;
     m_spread.onDigest(from, theirs, ownDigest(now), sends);
     pull(now, sends);
@@ -78,6 +85,7 @@
             outbox.emit(PeerSend { from, transport, CatalogMessage(std::move(update)) });
         }
     }
+    noteVersion(request.versions.config, outbox);
     CatalogSpread::Sends sends;
     m_spread.updateCandidate(from, request.versions, own);
     pull(now, sends);
@@ -125,6 +133,48 @@
     return true;
 }
 
+void Catalog::onProofRequest(const NetAddress &from, const CatalogProofRequest &request,
+                             TimePoint now, Outbox<Output> &outbox)
+{
+    if (auto reply = m_proof.answer(request, version(), now))
+        outbox.emit(PeerSend { from, Transport::Datagram, CatalogMessage(*reply) });
+}
+
+void Catalog::onProofReply(const NetAddress &from, const CatalogProofReply &reply, TimePoint now,
+                           Outbox<Output> &outbox)
+{
+    m_proof.onReply(reply, version(), now);
+    noteVersion(reply.version, outbox);
+    CatalogSpread::Sends sends;
+    m_spread.updateCandidate(from, { reply.version, {} }, heldVersions());
+    pull(now, sends);
+    emit(std::move(sends), outbox);
+}
+
+void Catalog::advanceProof(TimePoint now, Outbox<Output> &outbox)
+{
+    if (!m_proof.isStrict())
+        return;
+    m_proof.onHeld(version(), now);
+    if (const auto ask = m_proof.nextAsk(); ask && now >= *ask) {
+        const auto source = m_spread.proofSource(m_proof.attempts());
+        const CatalogProofRequest request = m_proof.ask(now);
+        if (source)
+            outbox.emit(PeerSend { *source, Transport::Datagram, CatalogMessage(request) });
+    }
+    if (const auto renewal = m_proof.takeRenewal(version()))
+        outbox.emit(*renewal);
+}
+
+// Requests with keys that this node does not know may be allowed by the version that it lacks.
+void Catalog::noteVersion(ConfigVersion named, Outbox<Output> &outbox)
+{
+    if (!m_config.hasOrganisations() || named <= version() || named <= m_namedVersion)
+        return;
+    m_namedVersion = named;
+    outbox.emit(NewerConfigurationKnown { named });
+}
+
 void Catalog::publishChanges(bool haveOrdersChanged, bool hasConfigChanged, TimePoint now,
                              Outbox<Output> &outbox)
 {
--- a/src/filters/configuration/catalogspread.cpp
+++ b/src/filters/configuration/catalogspread.cpp
@@ -20,6 +20,10 @@
 constexpr Duration deltaPullTimeout = std::chrono::milliseconds(300);
 constexpr Duration completePullTimeout = std::chrono::milliseconds(1500);
 constexpr std::size_t maxCandidates = 4;
+// The nodes that watch the store for a failure domain, see watchersPerDomain in catalog.cpp.
+constexpr std::size_t maxProofSources = 3;
+// Questions that go to them before others are asked.
+constexpr unsigned actingAttempts = 2;
 // An update is not sent again while it may still be in transit.
 constexpr Duration deltaResendInterval = std::chrono::milliseconds(100);
 constexpr Duration completeResendInterval = std::chrono::milliseconds(1000);
@@ -39,6 +43,7 @@
 {
     m_domainPeers.clear();
     m_remotePeers.clear();
+    m_actingPeers.clear();
     m_rank = 0;
     for (const auto &[service, endpoints] : table.services) {
         for (const Endpoint &endpoint : endpoints) {
@@ -48,8 +53,24 @@
             (isSameDomain ? m_domainPeers : m_remotePeers).push_back(endpoint.peer);
             const bool isEligible = isSameDomain && endpoint.state == EndpointState::Ready;
             m_rank += isEligible && endpoint.peer < m_self.peer ? 1 : 0;
+            if (isEligible)
+                m_actingPeers.push_back(endpoint.peer);
         }
     }
+    std::ranges::sort(m_actingPeers);
+    m_actingPeers.resize(std::min(m_actingPeers.size(), maxProofSources));
+}
+
+std::optional<NetAddress> CatalogSpread::proofSource(unsigned attempts)
+{
+    const std::vector<NetAddress> *peers = &m_actingPeers;
+    if (attempts >= actingAttempts || peers->empty())
+        peers = attempts % 2 == 0 ? &m_domainPeers : &m_remotePeers;
+    if (peers->empty())
+        peers = m_domainPeers.empty() ? &m_remotePeers : &m_domainPeers;
+    if (peers->empty())
+        return std::nullopt;
+    return (*peers)[uniformBelow(m_random, peers->size())];
 }
 
 void CatalogSpread::pushDigest(const CatalogDigest &own, Sends &sends)
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -50,6 +50,8 @@
 
 std::uint32_t PendingRequest::weight() const noexcept
 {
+    if (organisation != nullptr && organisation->weight)
+        return *organisation->weight;
     return route != nullptr ? route->kindWeight : 1;
 }
 
@@ -76,7 +78,7 @@
     forward.service = serviceName;
     forward.route = route->name;
     forward.kind = route->kind;
-    forward.kindWeight = route->kindWeight;
+    forward.kindWeight = weight();
     forward.isIdempotent = route->isIdempotent;
     forward.version = current->sentAttempt.version;
     forward.budget = left - std::min(hopAllowance, left / 10);
@@ -92,6 +94,8 @@
     forward.content = request.content;
     forward.attemptId = request.attemptId;
     forward.caller = request.caller;
+    if (organisation != nullptr)
+        forward.organisation = organisation->name;
     return forward;
 }
 
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t maxBackoffDoublings = 7;
 // Lower bound of `retryAfter` before jitter: about the time until a gate frees a slot.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(60);
+// A node without a proof asks for one about twice a second.
+constexpr Duration proofRetryAfter = std::chrono::milliseconds(400);
 
 // Every node serves exactly one backend server, so endpoints are counted as nodes.
 std::size_t nodeCount(const EndpointTable &table)
@@ -34,7 +36,8 @@
                                  RandomSource &random)
     : m_options(options), m_maxInFlight(maxInFlight), m_random(random),
       m_placement(std::move(domain), random, Policy {}, options.queuesForCapacity),
-      m_retryBudget(options.retries), m_queue(std::max<std::size_t>(1, maxInFlight / 2))
+      m_identification(options.revocation), m_retryBudget(options.retries),
+      m_queue(std::max<std::size_t>(1, maxInFlight / 2))
 { }
 
 template <BalancingPolicy Policy>
@@ -66,6 +69,8 @@
                        m_placement.update(std::move(changed.shares));
                        dispatchAll(now, outbox);
                    },
+                   [&](ConfigurationProven &proof) { m_identification.update(proof); },
+                   [&](NewerConfigurationKnown &known) { m_identification.update(known, now); },
                },
                input);
 }
@@ -89,6 +94,12 @@
         return refuse(NotRunReason::NoConfiguration);
     if (!resolve(pending))
         return refuse(NotRunReason::NoRoute);
+    if (const auto refusal = identify(pending, now)) {
+        ++m_counts.notRun;
+        emitDecision(pending, *refusal, now, outbox);
+        outbox.emit(ClientResponse { id, *refusal });
+        return;
+    }
     if (m_requests.size() >= m_maxInFlight) {
         const auto nextToShed = m_queue.nextToShed();
         if (!nextToShed
@@ -128,6 +139,8 @@
         m_deadlines.emplace(pending.deadline, id);
         if (!hasRoute)
             finish(id, NotRun { NotRunReason::NoRoute }, now, outbox);
+        else if (const auto refusal = identify(pending, now))
+            finish(id, *refusal, now, outbox);
         else if (pending.deadline <= now)
             finish(id, NotRun { NotRunReason::DeadlinePassed }, now, outbox);
         else
@@ -146,6 +159,24 @@
     return hasRoute;
 }
 
+// Empty if the request may go on, without its key.
+template <BalancingPolicy Policy>
+std::optional<NotRun> BasicRouter<Policy>::identify(PendingRequest &pending, TimePoint now)
+{
+    if (!pending.snapshot)
+        return std::nullopt;
+    const auto result
+        = m_identification.identify(*pending.snapshot, *pending.route, pending.request.apiKey, now);
+    if (const auto *organisation = std::get_if<const Organisation *>(&result)) {
+        pending.organisation = *organisation;
+        return std::nullopt;
+    }
+    NotRun refusal { std::get<NotRunReason>(result) };
+    if (refusal.reason == NotRunReason::KeyUnproven)
+        refusal.retryAfter = scaled(proofRetryAfter, 0.7 + 0.6 * uniformFraction(m_random));
+    return refusal;
+}
+
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::onDrain(const DrainSchedule &schedule)
 {
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -1,6 +1,8 @@
 // Functions of a mesh node that do not depend on the platform's dialect.
 #include <camphorreach/impl/meshnode.h>
 
+#include <algorithm>
+
 namespace camphorreach::impl {
 
 namespace {
@@ -24,6 +26,7 @@
 // short messages that are not delayed.
 constexpr double usableEgressShare = 0.85;
 constexpr double bytesPerMegabit = 125'000;
+constexpr std::size_t maxLoggedFindings = 20; // one invalid version may have thousands
 
 } // namespace
 
@@ -66,9 +69,20 @@
     options.retries = { initialRetryTokens, maxRetryTokens,
                         RetryBudget::FleetLimit { settings.retries.limit, settings.retries.extra,
                                                   settings.retries.window } };
+    options.revocation = settings.organisations.revocation;
     return options;
 }
 
+std::string toText(const ConfigurationRefused &refused)
+{
+    std::string text
+        = "event=configuration-refused version=" + std::to_string(refused.version.value())
+        + " findings=" + std::to_string(refused.findings.size());
+    for (std::size_t i = 0; i < std::min(refused.findings.size(), maxLoggedFindings); ++i)
+        text += " \"" + refused.findings[i].key + ": " + refused.findings[i].text + '"';
+    return text;
+}
+
 std::string toText(const ConfigurationReceived &received)
 {
     return "event=configuration-heard version=" + std::to_string(received.version.value())
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -2,6 +2,7 @@
 #include <camphorreach/impl/requestpath.h>
 
 #include <boost/json.hpp>
+#include <chrono>
 #include <random>
 
 namespace camphorreach::impl {
@@ -14,6 +15,14 @@
 json::value routerState(const R &router)
 {
     const typename R::Counts &counts = router.counts();
+    const Identification::Counts &keys = router.identification().counts();
+    const auto provenAsOf = router.identification().provenAsOf();
+    const auto proofAgeMs = [&]() -> json::value {
+        if (!provenAsOf)
+            return nullptr;
+        const Duration age = SteadyClock().now() - *provenAsOf;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    }();
     return { { "config_version", router.configVersion().value() },
              { "in_flight", router.inFlight() },
              { "waiting", router.waiting() },
@@ -24,7 +33,11 @@
              { "not_run", counts.notRun },
              { "unknown", counts.unknown },
              { "retries", counts.retries },
-             { "unmatched_answers", counts.unmatchedAnswers } };
+             { "unmatched_answers", counts.unmatchedAnswers },
+             { "keys_identified", keys.identified },
+             { "keys_unknown", keys.unknownKey },
+             { "keys_unproven", keys.keyUnproven },
+             { "proof_age_ms", proofAgeMs } };
 }
 
 } // namespace
--- a/tests/catalogworld.cpp
+++ b/tests/catalogworld.cpp
@@ -22,7 +22,7 @@
 // After this time the calling endpoint reports that there was no reply.
 constexpr Duration replyTimeout = milliseconds(3000);
 
-MeshConfig firstConfig(std::size_t routes)
+MeshConfig firstConfig(std::size_t routes, bool hasOrganisations)
 {
     MeshConfig config;
     config.version = ConfigVersion(1);
@@ -36,6 +36,9 @@
         config.routes.push_back(std::move(route));
     }
     config.services.push_back({ ServiceName("nyxa81a"), 530 });
+    if (hasOrganisations)
+        config.organisations.push_back(
+            { OrganisationName("ice-depot"), { ApiKey("old"), ApiKey("kept") } });
     return config;
 }
 
@@ -44,23 +47,51 @@
 CatalogWorld::CatalogWorld(Options options) : m_options(options)
 {
     m_history.push_back({ ObjectVersion(10),
-                          std::make_shared<const MeshConfig>(firstConfig(options.routes)),
+                          std::make_shared<const MeshConfig>(
+                              firstConfig(options.routes, options.revocation.has_value())),
                           m_events.now() });
-    auto table = std::make_shared<EndpointTable>();
-    for (std::size_t i = 0; i < options.nodes; ++i)
-        table->services[ServiceName("orders")].push_back(endpointOf(i));
+    m_lastSeed = options.nodes;
     for (std::size_t i = 0; i < options.nodes; ++i) {
-        m_nodes.push_back(std::make_unique<Node>(endpointOf(i), i + 1));
-        deliver(i, EndpointsChanged { table });
+        m_nodes.push_back(std::make_unique<Node>(endpointOf(i), i + 1, options.revocation));
+        m_nodes.back()->startedAt = m_events.now();
     }
+    for (std::size_t i = 0; i < options.nodes; ++i)
+        deliver(i, EndpointsChanged { table() });
+    if (options.revocation)
+        checkKeys();
+}
+
+std::shared_ptr<const EndpointTable> CatalogWorld::table() const
+{
+    auto table = std::make_shared<EndpointTable>();
+    for (std::size_t i = 0; i < m_options.nodes; ++i)
+        table->services[ServiceName("orders")].push_back(endpointOf(i));
+    return table;
+}
+
+void CatalogWorld::restart(std::size_t node)
+{
+    std::erase_if(m_pendingWatches,
+                  [node](const PendingWatch &pending) { return pending.node == node; });
+    const std::uint64_t timerId = m_nodes[node]->timerId + 1; // timers of the old process are void
+    m_replaced.push_back(std::move(m_nodes[node])); // so that a new process has another address
+    m_nodes[node] = std::make_unique<Node>(endpointOf(node), ++m_lastSeed, m_options.revocation);
+    m_nodes[node]->timerId = timerId;
+    m_nodes[node]->startedAt = m_events.now();
+    deliver(node, EndpointsChanged { table() });
 }
 
-Endpoint CatalogWorld::endpointOf(std::size_t index)
+void CatalogWorld::pause(std::size_t node, Duration span)
+{
+    m_nodes[node]->pausedUntil = m_events.now() + span;
+}
+
+Endpoint CatalogWorld::endpointOf(std::size_t index) const
 {
     Endpoint result;
     result.instance = InstanceId("n" + std::to_string(100 + index));
     result.peer = { "10.1.0.1", static_cast<std::uint16_t>(firstPort + index) };
-    result.domain = FailureDomain("arima");
+    result.domain = FailureDomain("arima-" + std::to_string(index % m_options.domains));
     result.service = ServiceName("orders");
     return result;
 }
@@ -80,11 +111,64 @@
     const auto step = static_cast<std::size_t>(config.version.value());
     for (const std::size_t i : { step, 7 * step })
         config.routes[i % config.routes.size()].policy.deadline += milliseconds(1);
+    store(std::move(config));
+}
+
+void CatalogWorld::store(MeshConfig config)
+{
     m_history.push_back({ next(m_history.back().object),
                           std::make_shared<const MeshConfig>(std::move(config)), m_events.now() });
     answerPendingWatches();
 }
 
+void CatalogWorld::withdrawKey()
+{
+    MeshConfig config = *m_history.back().config;
+    config.version = next(config.version);
+    std::erase(config.organisations.front().keys, ApiKey("old"));
+    m_withdrawnAt = m_events.now();
+    store(std::move(config));
+}
+
+void CatalogWorld::addKey()
+{
+    MeshConfig config = *m_history.back().config;
+    config.version = next(config.version);
+    config.organisations.front().keys.emplace_back("new");
+    store(std::move(config));
+}
+
+Identification::Result CatalogWorld::identify(std::size_t node, const std::string &key)
+{
+    if (!m_nodes[node]->active)
+        return NotRunReason::NoConfiguration;
+    ApiKey sent(key);
+    return m_nodes[node]->identification.identify(*m_nodes[node]->active, RoutePolicy {}, sent,
+                                                  m_events.now());
+}
+
+bool CatalogWorld::isIdentified(std::size_t node, const std::string &key)
+{
+    const Identification::Result result = identify(node, key);
+    const auto *organisation = std::get_if<const Organisation *>(&result);
+    return organisation != nullptr && *organisation != nullptr;
+}
+
+void CatalogWorld::checkKeys()
+{
+    const TimePoint now = m_events.now();
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        const Node &node = *m_nodes[i];
+        if (!node.isRunning || now < node.pausedUntil)
+            continue;
+        m_maxProofAge = std::max(m_maxProofAge,
+                                 now - node.identification.provenAsOf().value_or(node.startedAt));
+        if (m_withdrawnAt && now > *m_withdrawnAt + *m_options.revocation && isIdentified(i, "old"))
+            ++m_lateUses;
+    }
+    m_events.scheduleAfter(milliseconds(50), [this] { checkKeys(); });
+}
+
 void CatalogWorld::publishSeries(int count, Duration gap)
 {
     for (int i = 0; i < count; ++i) {
@@ -148,6 +232,12 @@
 {
     if (!m_nodes[index]->isRunning)
         return;
+    if (m_events.now() < m_nodes[index]->pausedUntil) {
+        const auto held = std::make_shared<Catalog::Input>(std::move(input));
+        m_events.scheduleAt(m_nodes[index]->pausedUntil,
+                            [this, index, held] { deliver(index, std::move(*held)); });
+        return;
+    }
     Outbox<Catalog::Output> outbox;
     m_nodes[index]->catalog.process(std::move(input), m_events.now(), outbox);
     collect(index, outbox);
@@ -161,6 +251,10 @@
                 [&](StoreCall &call) { onCall(index, call); },
                 [&](PeerSend &send) { onSend(index, std::move(send)); },
                 [&](SnapshotChanged &changed) { onSnapshot(index, std::move(changed.snapshot)); },
+                [&](ConfigurationProven &proof) { onProof(index, proof); },
+                [&](NewerConfigurationKnown &known) {
+                    m_nodes[index]->identification.update(known, m_events.now());
+                },
                 [](auto &) {},
             },
             output);
@@ -179,6 +273,8 @@
         Node &due = *m_nodes[index];
         if (due.timerId != timerId || !due.isRunning)
             return;
+        if (m_events.now() < due.pausedUntil)
+            return m_events.scheduleAt(due.pausedUntil, [this, index] { scheduleTimer(index); });
         Outbox<Catalog::Output> outbox;
         due.catalog.advance(m_events.now(), outbox);
         collect(index, outbox);
@@ -198,6 +294,8 @@
 void CatalogWorld::onSend(std::size_t from, PeerSend &&send)
 {
     const std::size_t to = send.to.port - firstPort;
+    if (m_cutOff.contains(from) != m_cutOff.contains(to))
+        return;
     const NetAddress sender = endpointOf(from).peer;
     const std::size_t bytes = impl::encodePayload({ sender, send.message }).size();
     m_peerBytes += bytes;
@@ -282,8 +380,10 @@
 // A call to a store that does not respond ends with the timeout of the calling endpoint.
 void CatalogWorld::loseReply(std::size_t index, StoreCallId call)
 {
-    m_events.scheduleAfter(replyTimeout, [this, index, call] {
-        deliver(index, StoreReply { call, StoreNoReply {} });
+    const Node *process = m_nodes[index].get();
+    m_events.scheduleAfter(replyTimeout, [this, index, call, process] {
+        if (m_nodes[index].get() == process)
+            deliver(index, StoreReply { call, StoreNoReply {} });
     });
 }
 
@@ -296,15 +396,29 @@
     if (bytes > m_options.maxReplyBytes)
         return deliver(index, StoreReply { call, StoreReplyTooLarge {} });
     const auto sharedResult = std::make_shared<StoreResult>(std::move(result));
-    m_events.scheduleAfter(m_storeResponseTime, [this, index, call, bytes, sharedResult] {
+    // A reply to a process that has been replaced since is lost with its connection.
+    const Node *process = m_nodes[index].get();
+    m_events.scheduleAfter(m_storeResponseTime, [this, index, call, bytes, sharedResult, process] {
+        if (m_nodes[index].get() != process)
+            return;
         deliver(index, StoreReply { call, StoreReplyBegun {} });
         m_events.scheduleAt(transfer(nullptr, m_nodes[index]->down, bytes),
-                            [this, index, call, sharedResult] {
-                                deliver(index, StoreReply { call, std::move(*sharedResult) });
+                            [this, index, call, sharedResult, process] {
+                                if (m_nodes[index].get() == process)
+                                    deliver(index, StoreReply { call, std::move(*sharedResult) });
                             });
     });
 }
 
+void CatalogWorld::onProof(std::size_t index, const ConfigurationProven &proof)
+{
+    const bool isWrong = std::ranges::any_of(m_history, [&](const StoredVersion &stored) {
+        return stored.storedAt < proof.asOf && stored.config->version > proof.version;
+    });
+    m_wrongProofs += isWrong ? 1 : 0;
+    m_nodes[index]->identification.update(proof);
+}
+
 void CatalogWorld::onSnapshot(std::size_t index, std::shared_ptr<const Snapshot> snapshot)
 {
     Node &node = *m_nodes[index];
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -5,6 +5,7 @@
 #include "scenario/eventqueue.h"
 
 #include <camphorreach/catalog.h>
+#include <camphorreach/identification.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace camphorreach {
@@ -27,6 +29,10 @@
         std::size_t routes = 2'500;
         std::uint64_t linkBytesPerSecond = 1'250'000; ///< Of every node, in each direction.
         std::size_t maxReplyBytes = 2 * 1024 * 1024; ///< Longer replies of the store are not read.
+        std::size_t domains = 1; ///< Failure domains, to which the nodes belong in turn.
+        /// With a value, the configuration has an organisation with the keys "old" and "kept", and
+        /// withdrawn keys must stop working within this time.
+        std::optional<Duration> revocation {};
     };
 
     explicit CatalogWorld(Options options);
@@ -44,6 +50,28 @@
     void slowStore(Duration responseTime) { m_storeResponseTime = responseTime; }
     /// Stops these nodes, by index, without notice to the others.
     void kill(const std::set<std::size_t> &nodes);
+    /// Replaces the process of a node by a new one.
+    void restart(std::size_t node);
+    /// From now on messages between these nodes and the others are lost. Replaces an earlier cut.
+    void cutOff(std::set<std::size_t> nodes) { m_cutOff = std::move(nodes); }
+    /// The process of a node does nothing for a time; what arrives meanwhile is processed then.
+    void pause(std::size_t node, Duration span);
+    /// Stores a version without the key "old", respectively with the additional key "new".
+    void withdrawKey();
+    void addKey();
+
+    /// What a node decides now about a request with a key.
+    [[nodiscard]] Identification::Result identify(std::size_t node, const std::string &key);
+    /// The same for a node that must identify the key.
+    [[nodiscard]] bool isIdentified(std::size_t node, const std::string &key);
+    /// Nodes that have identified the key "old" later than allowed after its withdrawal. Checked
+    /// every 50 ms at every running node.
+    [[nodiscard]] std::size_t lateUses() const noexcept { return m_lateUses; }
+    /// Proofs that did not hold: an older version than the proof names was in the store.
+    [[nodiscard]] std::size_t wrongProofs() const noexcept { return m_wrongProofs; }
+    /// Maximum age of a proof of a running node since the last call of resetProofAge().
+    [[nodiscard]] Duration maxProofAge() const noexcept { return m_maxProofAge; }
+    void resetProofAge() noexcept { m_maxProofAge = {}; }
 
     /// Maximum time from the storing of a version until it or a later one is active, over the
     /// running nodes. For a version that is not active yet, the time until now counts.
@@ -63,14 +91,20 @@
 
     struct Node
     {
-        Node(const Endpoint &self, std::uint64_t seed) : random(seed), catalog(self, {}, random) { }
+        Node(const Endpoint &self, std::uint64_t seed, std::optional<Duration> revocation)
+            : random(seed), catalog(self, { Share::fromFraction(0.1), revocation }, random),
+              identification(revocation)
+        { }
 
         RandomSource random;
         Catalog catalog;
+        Identification identification;
         Link up;
         Link down;
         std::shared_ptr<const Snapshot> active;
         bool isRunning = true;
+        TimePoint pausedUntil {};
+        TimePoint startedAt {};
         std::uint64_t timerId = 0; // of the current timer; earlier ones do nothing
     };
 
@@ -90,7 +124,10 @@
         bool isLost = false; // taken by a store that does not respond
     };
 
-    [[nodiscard]] static Endpoint endpointOf(std::size_t index);
+    [[nodiscard]] Endpoint endpointOf(std::size_t index) const;
+    [[nodiscard]] std::shared_ptr<const EndpointTable> table() const;
+    void store(MeshConfig config);
+    void checkKeys();
     void deliver(std::size_t index, Catalog::Input input);
     void collect(std::size_t index, Outbox<Catalog::Output> &outbox);
     void scheduleTimer(std::size_t index);
@@ -101,12 +138,14 @@
     void answerPendingWatches();
     void endWatch(std::uint64_t id);
     void loseReply(std::size_t index, StoreCallId call);
+    void onProof(std::size_t index, const ConfigurationProven &proof);
     void onSnapshot(std::size_t index, std::shared_ptr<const Snapshot> snapshot);
     [[nodiscard]] TimePoint transfer(Link *from, Link &to, std::size_t bytes) const;
 
     const Options m_options;
     scenario::EventQueue m_events;
     std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<std::unique_ptr<Node>> m_replaced; // processes that were replaced
     Duration m_storeResponseTime {};
     std::set<std::size_t> m_silenced; // nodes whose calls get no reply
     std::vector<StoredVersion> m_history; // object versions increase
@@ -114,6 +153,12 @@
     std::uint64_t m_nextWatchId = 0;
     std::uint64_t m_peerBytes = 0;
     std::uint64_t m_listAndWatchCalls = 0;
+    std::set<std::size_t> m_cutOff;
+    std::uint64_t m_lastSeed = 0;
+    std::optional<TimePoint> m_withdrawnAt; // time at which the store acknowledged it
+    std::size_t m_lateUses = 0;
+    std::size_t m_wrongProofs = 0;
+    Duration m_maxProofAge {};
     Duration m_maxDelay {}; // over the versions that have become active
 };
 
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -380,5 +380,98 @@
         CHECK(std::holds_alternative<Error>(decodeAnnouncement(body)));
 }
 
+class TenantsFixture : protected PlatformFixture
+{
+protected:
+    static std::shared_ptr<const MeshConfig> decodeConfig(const std::string &tenants)
+    {
+        const std::string body = R"({"items":[{"metadata":{"name":"main","revision":9},
+            "spec":{"version":7,"routes":{"columns":["name","host","path_prefix","route_kind",
+            "timeout_ms","max_attempts","auth_exempt","service"],
+            "rows":[["r-1","a.example","/a/","idempotent",1000,2,true,"orders"],
+            ["r-2","a.example","/b/","idempotent",1000,2,false,"orders"],
+            ["r-3","a.example","/c/","idempotent",1000,2,null,"orders"]]},
+            "services":{"columns":["name"],"rows":[["orders"]]},
+            "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
+            "idle_timeout_ms":15000})"
+            + tenants + R"(},"status":null}],"has_more":false,"at_rev":12})";
+        const auto entries
+            = std::get<StoreEntries>(reply(StoreList { StoreKind::Configuration }, 200, body));
+        const auto *config
+            = std::get_if<std::shared_ptr<const MeshConfig>>(&entries.entries.at(0).value);
+        return config != nullptr ? *config : nullptr;
+    }
+};
+
+// Guards against a key, rate or exemption that is lost, and a null that counts as a value.
+TEST_CASE_METHOD(TenantsFixture, "Platform_configurationWithTenants_organisationsAreDecoded")
+{
+    const auto config = decodeConfig(
+        R"(,"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],
+        "rows":[["t1",["k1","k2"],0,582,10.5],["t2",[],null,null,null],["t3",["k3"],2,0,5],
+        ["t4",["k4"],1,-3,5]]})");
+    REQUIRE(config != nullptr);
+    REQUIRE(config->organisations.size() == 4);
+    const Organisation first { OrganisationName("t1"),
+                               { ApiKey("k1"), ApiKey("k2") },
+                               weightForPriority(0),
+                               RequestQuota { RequestRate(582), RequestCount(10.5) } };
+    CHECK(config->organisations[0] == first);
+    CHECK(config->organisations[1] == Organisation { OrganisationName("t2"), {} });
+    CHECK_FALSE(config->organisations[2].quota);
+    CHECK(config->organisations[3].quota); // found to be invalid by the check
+    CHECK(findingsOf(*config).size() == 1);
+    CHECK(config->routes[0].policy.isKeyExempt);
+    CHECK_FALSE(config->routes[1].policy.isKeyExempt);
+    CHECK_FALSE(config->routes[2].policy.isKeyExempt);
+}
+
+// Guards against a deployment without organisations whose configuration is refused.
+TEST_CASE_METHOD(TenantsFixture, "Platform_configurationWithoutTenants_hasNoOrganisations")
+{
+    for (const std::string tenants : { "", R"(,"tenants":null)" }) {
+        const auto config = decodeConfig(tenants);
+        REQUIRE(config != nullptr);
+        CHECK(config->organisations.empty());
+    }
+    CHECK(decodeConfig(R"(,"tenants":{"columns":["name"],"rows":[["t1"]]})") == nullptr);
+}
+
+// Guards against a key that is passed on, and a claimed organisation that a backend server trusts.
+TEST_CASE_METHOD(TenantsFixture, "Platform_requestWithKeyAndClaim_neitherIsForwarded")
+{
+    HttpRequest http = clientRequest();
+    http.headers.push_back({ "x-camphorreach-credential", "k1" });
+    http.headers.push_back({ "X-Camphorreach-Tenant-Id", "claimed" });
+    const ClientRequest request = decodeRequest(std::move(http));
+    CHECK(request.apiKey == ApiKey("k1"));
+    BackendCall call;
+    call.request.content = request.content;
+    const HttpRequest unidentified = platform::ServerDialect().encode(BackendCall(call));
+    CHECK(unidentified.header("X-Camphorreach-Credential").empty());
+    CHECK(unidentified.header("X-Camphorreach-Tenant-Id").empty());
+    call.request.organisation = OrganisationName("t1");
+    const HttpRequest identified = platform::ServerDialect().encode(std::move(call));
+    CHECK(identified.header("X-Camphorreach-Credential").empty());
+    CHECK(identified.header("X-Camphorreach-Tenant-Id") == "t1");
+}
+
+// Guards against clients that give up after a refusal that only this node gives for now, or that
+// retry an unknown key.
+TEST_CASE_METHOD(TenantsFixture, "Platform_refusalsOfKeys_haveTheirStatusCodes")
+{
+    const platform::ClientDialect dialect;
+    const ClientAttemptId id("a");
+    const auto encode = [&](NotRunReason reason) {
+        return dialect.encode(NotRun { reason, std::chrono::milliseconds(250) }, id);
+    };
+    CHECK(encode(NotRunReason::UnknownKey).status == 401);
+    CHECK(encode(NotRunReason::UnknownKey).header("Retry-After").empty());
+    CHECK(encode(NotRunReason::KeyUnproven).status == 503);
+    CHECK(encode(NotRunReason::KeyUnproven).header("Retry-After") == "0.250");
+    CHECK(encode(NotRunReason::OverQuota).status == 429);
+    CHECK(encode(NotRunReason::OverQuota).header("Retry-After") == "0.250");
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -34,6 +34,7 @@
 {
     ForwardRequest fresh;
     fresh.isFreshKey = true;
+    fresh.organisation = OrganisationName("ice-depot");
     const QuarantineNotice notice { ServiceName("orders"),
                                     { { Digest(1), std::chrono::minutes(10), true },
                                       { Digest(2), std::chrono::minutes(5), false } } };
@@ -42,6 +43,8 @@
         RequestMessage(ForwardResponse { RequestId(1), NotRun {}, { 1, 2, 3 }, true }),
         QuarantineMessage(notice),
         LinkMessage(LinkClosing {}),
+        CatalogMessage(CatalogProofRequest { 5 }),
+        CatalogMessage(CatalogProofReply { 5, ConfigVersion(3), std::chrono::seconds(1) }),
     };
     for (const PeerMessage &message : messages) {
         const auto decoded = decodePayload(encodePayload({ { "127.0.0.1", 9000 }, message }));
