--- a/include/camphorreach/meshconfig.h
+++ b/include/camphorreach/meshconfig.h
@@ -2,7 +2,9 @@
 // limits.
 #pragma once
 
+#include <camphorreach/finding.h>
 #include <camphorreach/ids.h>
+#include <camphorreach/organisation.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/snapshot.h>
 #include <camphorreach/warmup.h>
@@ -30,6 +32,7 @@
     std::vector<HostRoute> routes;
     std::vector<MeshService> services;
     HttpLimits limits;
+    std::vector<Organisation> organisations {}; ///< Empty: requests need no key.
 
     friend bool operator==(const MeshConfig &, const MeshConfig &) = default;
 };
@@ -38,7 +41,13 @@
 /// important; the lowest is one.
 [[nodiscard]] std::uint32_t weightForPriority(std::uint32_t priority) noexcept;
 
+/// What makes the organisations of \a config invalid; empty when they are valid. A configuration
+/// with findings is refused as a whole. The findings name no keys.
+[[nodiscard]] Findings findingsOf(const MeshConfig &config);
+
 /// Builds the snapshot that routes requests by \a config. \a retryBudget applies to every service.
-[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget);
+/// \a keySeed is the seed of the index of keys; it is random for every process.
+[[nodiscard]] std::shared_ptr<const Snapshot> snapshotOf(MeshConfig config, Share retryBudget,
+                                                         std::uint64_t keySeed = 0);
 
 } // namespace camphorreach
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -6,6 +6,7 @@
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/evacuation.h>
 #include <camphorreach/filter.h>
+#include <camphorreach/identification.h>
 #include <camphorreach/moveshares.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/pendingrequest.h>
@@ -37,9 +38,10 @@
 class BasicRouter
 {
 public:
-    using Input = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>,
-                               LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
-                               DrainSchedule, EvacuationsChanged>;
+    using Input
+        = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>, LinkDown,
+                       SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule,
+                       EvacuationsChanged, ConfigurationProven, NewerConfigurationKnown>;
     using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
@@ -70,6 +72,8 @@
         /// limit.
         ByteCount spillBytesPerWeight {};
         RetryBudget::Limits retries {};
+        /// Time within which a withdrawn key must stop working; empty if it is not strict.
+        std::optional<Duration> revocation {};
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -90,6 +94,7 @@
     /// Requests queued for a target.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queue.size(); }
     [[nodiscard]] ConfigVersion configVersion() const noexcept;
+    [[nodiscard]] const Identification &identification() const noexcept { return m_identification; }
     [[nodiscard]] const Placement<Policy> &placement() const noexcept { return m_placement; }
 
 private:
@@ -101,6 +106,7 @@
     void onSnapshot(SnapshotChanged &&changed, TimePoint now, Outbox<Output> &outbox);
     void onDrain(const DrainSchedule &schedule);
     [[nodiscard]] bool resolve(PendingRequest &pending);
+    [[nodiscard]] std::optional<NotRun> identify(PendingRequest &pending, TimePoint now);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool trySend(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
@@ -139,6 +145,7 @@
     RandomSource &m_random; // seeded and owned by the code that builds the filter
     std::shared_ptr<const Snapshot> m_snapshot;
     Placement<Policy> m_placement;
+    Identification m_identification;
     RetryBudget m_retryBudget;
     RouteLatency m_routeLatencies;
     RouteBytes m_routeBytes;
--- a/include/camphorreach/snapshot.h
+++ b/include/camphorreach/snapshot.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <camphorreach/ids.h>
+#include <camphorreach/keyindex.h>
+#include <camphorreach/organisation.h>
 #include <camphorreach/request.h>
 #include <camphorreach/routetable.h>
 #include <camphorreach/units.h>
@@ -59,6 +61,8 @@
     /// Routes selected by host and path; empty if clients name the service.
     RouteTable hostRoutes {};
     HttpLimits limits {};
+    std::vector<Organisation> organisations {}; ///< Empty: requests need no key.
+    KeyIndex keys {}; ///< Of `organisations`.
 
     [[nodiscard]] const ServicePolicy *findService(const ServiceName &name) const noexcept;
 };
--- a/tests/coldloadtest.cpp
+++ b/tests/coldloadtest.cpp
@@ -26,7 +26,7 @@
 constexpr std::uint32_t slots = 6;
 constexpr Duration meanServiceTime = milliseconds(180);
 constexpr double capacity = nodeCount * slots / 0.180; // requests per second
-constexpr RequestRate coldRate { 8700 };
+constexpr WarmUpRate coldRate { 8700 };
 constexpr Duration networkLatency = std::chrono::microseconds(500);
 
 class ColdLoadFixture
--- a/tests/coldstarttest.cpp
+++ b/tests/coldstarttest.cpp
@@ -19,7 +19,7 @@
     void setRate(std::uint32_t thousandths)
     {
         limiter.update(now);
-        limiter.setPolicy(WarmUpPolicy { seconds(3), RequestRate(thousandths) }, now);
+        limiter.setPolicy(WarmUpPolicy { seconds(3), WarmUpRate(thousandths) }, now);
     }
     void announce(Duration left)
     {
@@ -78,7 +78,7 @@
         ServicePolicy policy;
         policy.name = ServiceName("orders");
         if (thousandths > 0)
-            policy.warmUp = WarmUpPolicy { seconds(3), RequestRate(thousandths) };
+            policy.warmUp = WarmUpPolicy { seconds(3), WarmUpRate(thousandths) };
         snapshot->services.emplace(policy.name, policy);
         process(SnapshotChanged { snapshot });
     }
--- a/tests/evacuationtest.cpp
+++ b/tests/evacuationtest.cpp
@@ -487,7 +487,7 @@
     auto snapshot = std::make_shared<Snapshot>();
     ServicePolicy policy;
     policy.name = ServiceName("orders");
-    policy.warmUp = WarmUpPolicy { seconds(3), RequestRate(2000) };
+    policy.warmUp = WarmUpPolicy { seconds(3), WarmUpRate(2000) };
     snapshot->services.emplace(policy.name, policy);
     process(SnapshotChanged { snapshot });
     process(BackendEvacuated { true });
