Limit the requests of organisations over all nodes

Change: every node delegates its equal share of each quota to one owner at a time, for a term by the owner's clock; an owner lends single requests from what its shares earn, and a loan has a short life by the borrower's clock. QuotaLedger, QuotaOwner and Quotas are filters' parts; BasicRouter asks them after a request is identified and before it is placed, when its options name them. A request that finds no loan waits for one round trip; one whose owner has lent all is refused at once as over-quota. "Not run" gives the permit back. The router does nothing for requests without an organisation, and nothing is sent without quotas in the configuration.

--- a/include/camphorreach/impl/peerendpoint.h
+++ b/include/camphorreach/impl/peerendpoint.h
@@ -13,11 +13,12 @@
 namespace camphorreach::impl {
 
 using PeerCommand = std::variant<PeerSend, ForwardReply, EgressUsed>;
-using PeerEvent = std::variant<PeerReceived<ForwardResponse>, LinkDown, ForwardReceived,
-                               CancelReceived, LinkClosed, PeerReceived<MembershipMessage>,
-                               PeerReceived<ConfigMessage>, PeerReceived<MoveMessage>,
-                               PeerReceived<QuarantineMessage>, PeerReceived<CatalogMessage>,
-                               PeerReceived<RolloutMessage>, EgressBacklogChanged>;
+using PeerEvent
+    = std::variant<PeerReceived<ForwardResponse>, LinkDown, ForwardReceived, CancelReceived,
+                   LinkClosed, PeerReceived<MembershipMessage>, PeerReceived<ConfigMessage>,
+                   PeerReceived<MoveMessage>, PeerReceived<QuarantineMessage>,
+                   PeerReceived<CatalogMessage>, PeerReceived<RolloutMessage>,
+                   PeerReceived<QuotaMessage>, EgressBacklogChanged>;
 
 class PeerEndpoint
 {
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -222,6 +222,9 @@
                 [this](PeerReceived<QuarantineMessage> &message) {
                     return m_gate.ring().tryPush(std::move(message));
                 },
+                [this](PeerReceived<QuotaMessage> &message) {
+                    return m_router.ring().tryPush(std::move(message));
+                },
                 [this](EgressBacklogChanged &changed) { return m_gate.ring().tryPush(changed); },
                 [this](auto &message) { return m_hooks.onControl(std::move(message)); },
             },
--- a/include/camphorreach/impl/traffic.h
+++ b/include/camphorreach/impl/traffic.h
@@ -22,12 +22,13 @@
     Links,
     Catalog,
     Rollouts,
+    Quotas,
 };
 
 /// By TrafficKind.
-inline constexpr std::array<std::string_view, 9> trafficKindNames {
+inline constexpr std::array<std::string_view, 10> trafficKindNames {
     "requests",   "responses", "membership", "configuration", "moves",
-    "quarantine", "links",     "catalog",    "rollouts",
+    "quarantine", "links",     "catalog",    "rollouts",      "quotas",
 };
 
 [[nodiscard]] TrafficKind kindOf(const PeerMessage &message) noexcept;
--- a/include/camphorreach/peermessage.h
+++ b/include/camphorreach/peermessage.h
@@ -7,6 +7,7 @@
 #include <camphorreach/movemessage.h>
 #include <camphorreach/netaddress.h>
 #include <camphorreach/quarantinemessage.h>
+#include <camphorreach/quotamessage.h>
 #include <camphorreach/request.h>
 #include <camphorreach/rolloutmessage.h>
 
@@ -26,8 +27,9 @@
 /// Messages between nodes about the link itself.
 using LinkMessage = std::variant<LinkClosing>;
 
-using PeerMessage = std::variant<RequestMessage, MembershipMessage, ConfigMessage, MoveMessage,
-                                 QuarantineMessage, LinkMessage, CatalogMessage, RolloutMessage>;
+using PeerMessage
+    = std::variant<RequestMessage, MembershipMessage, ConfigMessage, MoveMessage, QuarantineMessage,
+                   LinkMessage, CatalogMessage, RolloutMessage, QuotaMessage>;
 
 enum class Transport : std::uint8_t {
     Datagram, ///< UDP: may be lost; at most maxDatagramBytes.
--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <camphorreach/placement.h>
+#include <camphorreach/quotaledger.h>
 #include <camphorreach/request.h>
 #include <camphorreach/snapshot.h>
 #include <camphorreach/units.h>
@@ -31,6 +32,8 @@
     ServiceName serviceName {}; ///< From the request, or from the host route.
     const ServicePolicy *service = nullptr; ///< Inside `snapshot`.
     const RoutePolicy *route = nullptr; ///< Inside `snapshot`.
+    const Organisation *organisation = nullptr; ///< Inside `snapshot`; null if no key is needed.
+    QuotaPermit permit {};
     PlacementState placement {};
     std::optional<Current> current {};
     InstanceId lastTarget {}; ///< Of the latest attempt.
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -9,6 +9,7 @@
 #include <camphorreach/peermessage.h>
 #include <camphorreach/pendingrequest.h>
 #include <camphorreach/placement.h>
+#include <camphorreach/quotas.h>
 #include <camphorreach/random.h>
 #include <camphorreach/request.h>
 #include <camphorreach/requestsample.h>
@@ -36,9 +37,9 @@
 class BasicRouter
 {
 public:
-    using Input
-        = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>, LinkDown,
-                       SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule>;
+    using Input = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>,
+                               LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
+                               DrainSchedule, PeerReceived<QuotaMessage>>;
     using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
@@ -69,6 +70,8 @@
         /// limit.
         ByteCount spillBytesPerWeight {};
         RetryBudget::Limits retries {};
+        /// Enforces the quotas of the configuration.
+        std::optional<QuotaOptions> quotas {};
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -89,6 +92,8 @@
     /// Requests queued for a target.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queue.size(); }
     [[nodiscard]] ConfigVersion configVersion() const noexcept;
+    /// Null when this router enforces no quotas.
+    [[nodiscard]] const Quotas *quotas() const noexcept { return m_quotas ? &*m_quotas : nullptr; }
     [[nodiscard]] const Placement<Policy> &placement() const noexcept { return m_placement; }
 
 private:
@@ -100,6 +105,10 @@
     void onSnapshot(SnapshotChanged &&changed, TimePoint now, Outbox<Output> &outbox);
     void onDrain(const DrainSchedule &schedule);
     [[nodiscard]] bool resolve(PendingRequest &pending);
+    [[nodiscard]] QuotaDecision admitByQuota(const PendingRequest &pending, TimePoint now,
+                                             Outbox<Output> &outbox);
+    void onQuotaVerdict(QuotaVerdict &&verdict, TimePoint now, Outbox<Output> &outbox);
+    void handleQuotaOutputs(Outbox<Quotas::Output> outputs, TimePoint now, Outbox<Output> &outbox);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool trySend(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
@@ -138,6 +147,7 @@
     RandomSource &m_random; // seeded and owned by the code that builds the filter
     std::shared_ptr<const Snapshot> m_snapshot;
     Placement<Policy> m_placement;
+    std::optional<Quotas> m_quotas;
     RetryBudget m_retryBudget;
     RouteLatency m_routeLatencies;
     RouteBytes m_routeBytes;
--- a/src/endpoints/traffic.cpp
+++ b/src/endpoints/traffic.cpp
@@ -20,6 +20,7 @@
                           [](const LinkMessage &) { return TrafficKind::Links; },
                           [](const CatalogMessage &) { return TrafficKind::Catalog; },
                           [](const RolloutMessage &) { return TrafficKind::Rollouts; },
+                          [](const QuotaMessage &) { return TrafficKind::Quotas; },
                       },
                       message);
 }
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -204,6 +204,36 @@
             directive.elapsed);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, QuotaStamp &stamp)
+{
+    archive(stamp.run, stamp.time);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaNeed &need)
+{
+    archive(need.organisation, need.needed, need.ahead);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaAsk &ask)
+{
+    archive(ask.group, ask.id, ask.echo, ask.nodeCount, ask.needs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaLoan &loan)
+{
+    archive(loan.count, loan.retryMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaGrant &grant)
+{
+    archive(grant.group, grant.id, grant.stamp, grant.isElected, grant.loans);
+}
+
 namespace impl {
 
 template <typename Archive>
--- a/src/filters/requests/attemptend.cpp
+++ b/src/filters/requests/attemptend.cpp
@@ -61,7 +61,8 @@
 {
     return reason == NotRunReason::Malformed || reason == NotRunReason::Quarantined
         || reason == NotRunReason::KeyReused || reason == NotRunReason::NoRoute
-        || reason == NotRunReason::DeadlinePassed || reason == NotRunReason::UnknownKey;
+        || reason == NotRunReason::DeadlinePassed || reason == NotRunReason::UnknownKey
+        || reason == NotRunReason::OverQuota;
 }
 
 } // namespace camphorreach
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -35,7 +35,10 @@
     : m_options(options), m_maxInFlight(maxInFlight), m_random(random),
       m_placement(std::move(domain), random, Policy {}, options.queuesForCapacity),
       m_retryBudget(options.retries), m_queue(std::max<std::size_t>(1, maxInFlight / 2))
-{ }
+{
+    if (options.quotas)
+        m_quotas.emplace(*options.quotas, random);
+}
 
 template <BalancingPolicy Policy>
 ConfigVersion BasicRouter<Policy>::configVersion() const noexcept
@@ -59,6 +62,8 @@
                    [&](DrainSchedule &schedule) { onDrain(schedule); },
                    [&](EndpointsChanged &changed) {
                        m_retryBudget.setNodeCount(nodeCount(*changed.table));
+                       if (m_quotas)
+                           m_quotas->onEndpoints(*changed.table, now);
                        m_placement.update(std::move(changed.table), now);
                        dispatchAll(now, outbox);
                    },
@@ -66,6 +71,13 @@
                        m_placement.update(std::move(changed.shares));
                        dispatchAll(now, outbox);
                    },
+                   [&](PeerReceived<QuotaMessage> &received) {
+                       if (!m_quotas)
+                           return;
+                       Outbox<Quotas::Output> outputs;
+                       m_quotas->onMessage(received.from, received.message, now, outputs);
+                       handleQuotaOutputs(std::move(outputs), now, outbox);
+                   },
                },
                input);
 }
@@ -89,19 +101,78 @@
         return refuse(NotRunReason::NoConfiguration);
     if (!resolve(pending))
         return refuse(NotRunReason::NoRoute);
+    const QuotaDecision quota = admitByQuota(pending, now, outbox);
+    if (const auto *overQuota = std::get_if<NotRun>(&quota)) {
+        ++m_counts.notRun;
+        emitDecision(pending, *overQuota, now, outbox);
+        outbox.emit(ClientResponse { id, *overQuota });
+        return;
+    }
+    if (const auto *permit = std::get_if<QuotaPermit>(&quota))
+        pending.permit = *permit;
     if (m_requests.size() >= m_maxInFlight) {
         const auto nextToShed = m_queue.nextToShed();
         if (!nextToShed
             || WaitQueue::isShedBefore({ id, {}, pending.weight(), pending.deadline, {} },
                                        *nextToShed)) {
             ++m_counts.shed;
+            if (m_quotas)
+                m_quotas->refund(pending.permit, now);
             return refuse(NotRunReason::Overloaded);
         }
         ++m_counts.shed;
         finish(nextToShed->id, NotRun { NotRunReason::Overloaded }, now, outbox);
     }
     m_deadlines.emplace(pending.deadline, id);
-    sendOrQueue(m_requests.insert_or_assign(id, std::move(pending)).first->second, now, outbox);
+    PendingRequest &stored = m_requests.insert_or_assign(id, std::move(pending)).first->second;
+    if (std::holds_alternative<QuotaPending>(quota))
+        stored.notRunReason = NotRunReason::DeadlinePassed; // until the verdict
+    else
+        sendOrQueue(stored, now, outbox);
+}
+
+// Calls without an organisation do not count.
+template <BalancingPolicy Policy>
+QuotaDecision BasicRouter<Policy>::admitByQuota(const PendingRequest &pending, TimePoint now,
+                                                Outbox<Output> &outbox)
+{
+    if (!m_quotas || pending.organisation == nullptr)
+        return QuotaPermit {};
+    Outbox<Quotas::Output> outputs;
+    const QuotaDecision decision
+        = m_quotas->admit(pending.organisation->name, pending.request.id, now, outputs);
+    handleQuotaOutputs(std::move(outputs), now, outbox);
+    return decision;
+}
+
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::handleQuotaOutputs(Outbox<Quotas::Output> outputs, TimePoint now,
+                                             Outbox<Output> &outbox)
+{
+    for (Quotas::Output &output : outputs.take())
+        std::visit(
+            Overloaded {
+                [&](PeerSend &send) { outbox.emit(std::move(send)); },
+                [&](QuotaVerdict &verdict) { onQuotaVerdict(std::move(verdict), now, outbox); },
+            },
+            output);
+}
+
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::onQuotaVerdict(QuotaVerdict &&verdict, TimePoint now,
+                                         Outbox<Output> &outbox)
+{
+    const auto found = m_requests.find(verdict.id);
+    const auto *permit = std::get_if<QuotaPermit>(&verdict.decision);
+    if (found == m_requests.end()) { // the client left, or the deadline has passed
+        if (permit != nullptr)
+            m_quotas->refund(*permit, now);
+        return;
+    }
+    if (permit == nullptr)
+        return finish(verdict.id, std::get<NotRun>(verdict.decision), now, outbox);
+    found->second.permit = *permit;
+    sendOrQueue(found->second, now, outbox);
 }
 
 template <BalancingPolicy Policy>
@@ -109,6 +180,8 @@
                                      Outbox<Output> &outbox)
 {
     m_snapshot = std::move(changed.snapshot);
+    if (m_quotas)
+        m_quotas->onSnapshot(*m_snapshot, now);
     m_retryBudget.retain(*m_snapshot);
     m_routeLatencies.retain(*m_snapshot);
     std::vector<RequestId> unresolved;
@@ -466,6 +539,8 @@
         ++m_counts.notRun;
     else
         ++m_counts.unknown;
+    if (m_quotas && std::holds_alternative<NotRun>(outcome))
+        m_quotas->refund(found->second.permit, now);
     emitDecision(found->second, outcome, now, outbox);
     m_queue.erase(requestId);
     m_deadlines.erase({ found->second.deadline, requestId });
@@ -562,6 +637,11 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
         expire(m_deadlines.begin()->second, now, outbox);
+    if (m_quotas) {
+        Outbox<Quotas::Output> outputs;
+        m_quotas->advance(now, outputs);
+        handleQuotaOutputs(std::move(outputs), now, outbox);
+    }
     for (const ServiceName &service : m_queue.takeDueServices(now))
         dispatch(service, now, outbox);
     if (m_placement.takeEndedEjections(now))
@@ -578,6 +658,8 @@
     };
     if (!m_deadlines.empty())
         consider(m_deadlines.begin()->first);
+    if (m_quotas)
+        consider(m_quotas->nextDeadline());
     consider(m_queue.nextBackoffEnd());
     if (m_queue.size() > 0)
         consider(m_placement.nextEjectionEnd());
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -66,6 +66,10 @@
     options.retries = { initialRetryTokens, maxRetryTokens,
                         RetryBudget::FleetLimit { settings.retries.limit, settings.retries.extra,
                                                   settings.retries.window } };
+    const OrganisationSettings &organisations = settings.organisations;
+    options.quotas
+        = { settings.peerAddress,
+            { organisations.quotaWindow, organisations.quotaExcess, organisations.quotaSlack } };
     return options;
 }
 
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -14,17 +14,28 @@
 json::value routerState(const R &router)
 {
     const typename R::Counts &counts = router.counts();
-    return { { "config_version", router.configVersion().value() },
-             { "in_flight", router.inFlight() },
-             { "waiting", router.waiting() },
-             { "shed", counts.shed },
-             { "cancelled", counts.cancelled },
-             { "requests", counts.requests },
-             { "answered", counts.answered },
-             { "not_run", counts.notRun },
-             { "unknown", counts.unknown },
-             { "retries", counts.retries },
-             { "unmatched_answers", counts.unmatchedAnswers } };
+    json::object state { { "config_version", router.configVersion().value() },
+                         { "in_flight", router.inFlight() },
+                         { "waiting", router.waiting() },
+                         { "shed", counts.shed },
+                         { "cancelled", counts.cancelled },
+                         { "requests", counts.requests },
+                         { "answered", counts.answered },
+                         { "not_run", counts.notRun },
+                         { "unknown", counts.unknown },
+                         { "retries", counts.retries },
+                         { "unmatched_answers", counts.unmatchedAnswers } };
+    if (const Quotas *quotas = router.quotas()) {
+        const QuotaLedger::Counts &requests = quotas->counts();
+        state["quotas"] = { { "admitted", requests.admitted },
+                            { "waited", requests.waited },
+                            { "over_quota", requests.overQuota },
+                            { "borrowed", requests.borrowed },
+                            { "expired", requests.expired },
+                            { "refunds", requests.refunds },
+                            { "lent", quotas->lent() } };
+    }
+    return state;
 }
 
 } // namespace
--- a/tests/scenario/simnode.cpp
+++ b/tests/scenario/simnode.cpp
@@ -168,6 +168,7 @@
             [this](PeerReceived<QuarantineMessage> &message) { feed(m_gate, std::move(message)); },
             [](PeerReceived<CatalogMessage> &) {}, // only used by nodes that watch the store
             [](PeerReceived<RolloutMessage> &) {},
+            [](PeerReceived<QuotaMessage> &) {}, // its configuration has no organisations
             [this](EgressBacklogChanged &changed) { feed(m_gate, changed); },
         },
         event);
--- a/tests/traffictest.cpp
+++ b/tests/traffictest.cpp
@@ -21,6 +21,7 @@
     CHECK(kindOf(MembershipMessage(Ping {})) == TrafficKind::Membership);
     CHECK(kindOf(CatalogMessage(CatalogDigest {})) == TrafficKind::Catalog);
     CHECK(kindOf(RolloutMessage(RolloutReport {})) == TrafficKind::Rollouts);
+    CHECK(kindOf(QuotaMessage(QuotaAsk {})) == TrafficKind::Quotas);
     CHECK(kindOf(LinkMessage(LinkClosing {})) == TrafficKind::Links);
 }
 
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -42,6 +42,16 @@
         RequestMessage(ForwardResponse { RequestId(1), NotRun {}, { 1, 2, 3 }, true }),
         QuarantineMessage(notice),
         LinkMessage(LinkClosing {}),
+        QuotaMessage(QuotaAsk { QuotaGroup(1),
+                                QuotaAskId(2),
+                                { QuotaRun(3), std::chrono::seconds(4) },
+                                5,
+                                { { Digest(6), 7, 8 } } }),
+        QuotaMessage(QuotaGrant { QuotaGroup(1),
+                                  QuotaAskId(2),
+                                  { QuotaRun(3), std::chrono::seconds(4) },
+                                  true,
+                                  { { 5, 6 } } }),
     };
     for (const PeerMessage &message : messages) {
         const auto decoded = decodePayload(encodePayload({ { "127.0.0.1", 9000 }, message }));
@@ -59,6 +69,15 @@
     CHECK(encodePayload({ { host, 9000 }, QuarantineMessage(notice) }).size() <= maxDatagramBytes);
 }
 
+// Guards against an ask that is never sent because it does not fit into a datagram.
+TEST_CASE_METHOD(WireFixture, "Wire_maxSizeQuotaAsk_fitsIntoDatagram")
+{
+    QuotaAsk ask;
+    ask.needs.resize(maxQuotaNeeds);
+    const std::string host = "ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff";
+    CHECK(encodePayload({ { host, 9000 }, QuotaMessage(ask) }).size() <= maxDatagramBytes);
+}
+
 // Guards against a crash, or a truncated message that is accepted, when a connection ends inside a
 // frame.
 TEST_CASE_METHOD(WireFixture, "Wire_truncatedAnywhere_isMalformed")
