--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -11,6 +11,7 @@
 #include <camphorreach/peermessage.h>
 #include <camphorreach/pendingrequest.h>
 #include <camphorreach/placement.h>
+#include <camphorreach/quotas.h>
 #include <camphorreach/random.h>
 #include <camphorreach/request.h>
 #include <camphorreach/requestsample.h>
@@ -38,10 +39,10 @@
 class BasicRouter
 {
 public:
-    using Input
-        = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>, LinkDown,
-                       SnapshotChanged, EndpointsChanged, MoveSharesChanged, DrainSchedule,
-                       EvacuationsChanged, ConfigurationProven, NewerConfigurationKnown>;
+    using Input = std::variant<ClientRequest, ClientDisconnected, PeerReceived<ForwardResponse>,
+                               LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
+                               DrainSchedule, EvacuationsChanged, ConfigurationProven,
+                               NewerConfigurationKnown, PeerReceived<QuotaMessage>>;
     using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
 
     struct Counts
@@ -74,6 +75,8 @@
         RetryBudget::Limits retries {};
         /// Time within which a withdrawn key must stop working; empty if it is not strict.
         std::optional<Duration> revocation {};
+        /// Enforces the quotas of the configuration.
+        std::optional<QuotaOptions> quotas {};
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -95,6 +98,8 @@
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queue.size(); }
     [[nodiscard]] ConfigVersion configVersion() const noexcept;
     [[nodiscard]] const Identification &identification() const noexcept { return m_identification; }
+    /// Null when this router enforces no quotas.
+    [[nodiscard]] const Quotas *quotas() const noexcept { return m_quotas ? &*m_quotas : nullptr; }
     [[nodiscard]] const Placement<Policy> &placement() const noexcept { return m_placement; }
 
 private:
@@ -107,6 +112,10 @@
     void onDrain(const DrainSchedule &schedule);
     [[nodiscard]] bool resolve(PendingRequest &pending);
     [[nodiscard]] std::optional<NotRun> identify(PendingRequest &pending, TimePoint now);
+    [[nodiscard]] QuotaDecision admitByQuota(const PendingRequest &pending, TimePoint now,
+                                             Outbox<Output> &outbox);
+    void onQuotaVerdict(QuotaVerdict &&verdict, TimePoint now, Outbox<Output> &outbox);
+    void handleQuotaOutputs(Outbox<Quotas::Output> outputs, TimePoint now, Outbox<Output> &outbox);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool trySend(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
@@ -146,6 +155,7 @@
     std::shared_ptr<const Snapshot> m_snapshot;
     Placement<Policy> m_placement;
     Identification m_identification;
+    std::optional<Quotas> m_quotas;
     RetryBudget m_retryBudget;
     RouteLatency m_routeLatencies;
     RouteBytes m_routeBytes;
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -70,7 +70,11 @@
     options.retries = { initialRetryTokens, maxRetryTokens,
                         RetryBudget::FleetLimit { settings.retries.limit, settings.retries.extra,
                                                   settings.retries.window } };
-    options.revocation = settings.organisations.revocation;
+    const OrganisationSettings &organisations = settings.organisations;
+    options.revocation = organisations.revocation;
+    options.quotas
+        = { settings.peerAddress,
+            { organisations.quotaWindow, organisations.quotaExcess, organisations.quotaSlack } };
     return options;
 }
 
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -23,22 +23,28 @@
         const Duration age = SteadyClock().now() - *provenAsOf;
         return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     }();
-    return { { "config_version", router.configVersion().value() },
-             { "in_flight", router.inFlight() },
-             { "waiting", router.waiting() },
-             { "shed", counts.shed },
-             { "cancelled", counts.cancelled },
-             { "requests", counts.requests },
-             { "answered", counts.answered },
-             { "not_run", counts.notRun },
-             { "unknown", counts.unknown },
-             { "retries", counts.retries },
-             { "evacuated_domains", router.placement().evacuatedDomainCount() },
-             { "unmatched_answers", counts.unmatchedAnswers },
-             { "keys_identified", keys.identified },
-             { "keys_unknown", keys.unknownKey },
-             { "keys_unproven", keys.keyUnproven },
-             { "proof_age_ms", proofAgeMs } };
+    json::object state { { "config_version", router.configVersion().value() },
+                         { "in_flight", router.inFlight() },
+                         { "waiting", router.waiting() },
+                         { "shed", counts.shed },
+                         { "cancelled", counts.cancelled },
+                         { "requests", counts.requests },
+                         { "answered", counts.answered },
+                         { "not_run", counts.notRun },
+                         { "unknown", counts.unknown },
+                         { "retries", counts.retries },
+                         { "unmatched_answers", counts.unmatchedAnswers } };
+    if (const Quotas *quotas = router.quotas()) {
+        const QuotaLedger::Counts &requests = quotas->counts();
+        state["quotas"] = { { "admitted", requests.admitted },
+                            { "waited", requests.waited },
+                            { "over_quota", requests.overQuota },
+                            { "borrowed", requests.borrowed },
+                            { "expired", requests.expired },
+                            { "refunds", requests.refunds },
+                            { "lent", quotas->lent() } };
+    }
+    return state;
 }
 
 } // namespace
