Decide which clients may make the process hold memory

A body counts in the HTTP server only once its request is complete, and the buffers, header fields and partial bodies of connections have no bound.

ClientMemory is the owner of a budget in bytes of which each connection is a part. It holds no socket, clock or thread. The server reports what a connection holds and asks before it reads more; the answer is to read, to wait or to refuse, with the connections that give way: those that hold a part of a request and have held the most for the longest, never one whose request may run. A quarter of the total is left to small requests. Nothing uses it yet.

--- /dev/null
+++ b/src/filters/requests/clientmemory.cpp
@@ -0,0 +1,203 @@
+// Decisions about the memory that clients make a process hold.
+#include <camphorreach/clientmemory.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorreach {
+
+namespace {
+
+// The rest of a machine's memory is for the process itself, the queues of the gate (three
+// sixteenths), and the buffers of links and backend connections.
+constexpr std::uint64_t memoryDivisor = 4;
+// A request of the maximum size, with a copy of it, must fit beside the reserve.
+constexpr std::uint64_t minTotal = 8 * 1024 * 1024;
+constexpr std::uint64_t reserveDivisor = 4;
+// What the system may hold of a connection that is not read.
+constexpr std::uint64_t socketBufferBytes = 64 * 1024;
+constexpr std::uint64_t waitingDivisor = 16;
+// What an open connection holds at least. Connections without a request may use half of the total.
+constexpr std::uint64_t connectionBytes = 8 * 1024;
+constexpr std::uint64_t connectionsDivisor = 2;
+// More room than needed is made at once, so that connections are searched rarely.
+constexpr std::uint64_t extraRoomDivisor = 16;
+
+} // namespace
+
+ClientMemory::Limits ClientMemory::limitsFor(ByteCount machineMemory, std::size_t connections)
+{
+    Limits limits;
+    const std::uint64_t total = std::max(minTotal, machineMemory.value() / memoryDivisor);
+    limits.total = ByteCount(total);
+    limits.reserve = ByteCount(total / reserveDivisor);
+    limits.connections
+        = std::min<std::size_t>(connections, total / connectionsDivisor / connectionBytes);
+    limits.waiting = std::max<std::uint64_t>(1, total / waitingDivisor / socketBufferBytes);
+    return limits;
+}
+
+void ClientMemory::open(ClientId client, TimePoint now)
+{
+    m_clients[client].movedAt = now;
+}
+
+void ClientMemory::close(ClientId client)
+{
+    const auto found = m_clients.find(client);
+    if (found == m_clients.end())
+        return;
+    endWait(found->second);
+    m_held -= found->second.held;
+    m_sending -= found->second.sending;
+    m_clients.erase(found);
+}
+
+void ClientMemory::update(ClientId id, ByteCount held, ByteCount sending, Activity activity,
+                          ByteCount received, TimePoint now)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end())
+        return;
+    Client &client = found->second;
+    m_held += held.value() - client.held;
+    client.held = held.value();
+    m_sending += sending.value() - client.sending;
+    client.sending = sending.value();
+    client.receivedSinceMove += received.value();
+    // The end of a request or of a response is progress, too.
+    const bool hasMoved = std::exchange(client.activity, activity) != activity;
+    if (hasMoved || client.receivedSinceMove >= m_limits.progress.value()) {
+        client.receivedSinceMove = 0;
+        client.movedAt = now;
+    }
+    if (activity != Activity::Receiving && activity != Activity::Running)
+        endWait(client);
+}
+
+ClientMemory::Decision ClientMemory::ask(ClientId id, ByteCount wanted, TimePoint now)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end())
+        return { Answer::Refuse, {} };
+    Client &client = found->second;
+    const bool isSmall = wanted.value() <= m_limits.small.value();
+    const std::uint64_t limit = limitFor(wanted);
+    const std::uint64_t others = heldBeside(client);
+    Decision decision;
+    if (others + wanted.value() > limit && wanted.value() <= limit)
+        decision.closed = victims(id, isSmall, others + wanted.value() - limit, now);
+    if (others + wanted.value() <= limit || !decision.closed.empty()) {
+        if (client.isWaiting)
+            client.movedAt = now;
+        endWait(client);
+        return decision;
+    }
+    if (!client.isWaiting) {
+        if (m_waiting >= m_limits.waiting || wanted.value() > limit)
+            return { Answer::Refuse, {} };
+        client.isWaiting = true;
+        client.waitingSince = now;
+        ++m_waiting;
+    }
+    const bool isTooLate = now - client.waitingSince >= m_limits.maxWait;
+    if (isTooLate)
+        endWait(client);
+    return { isTooLate ? Answer::Refuse : Answer::Wait, {} };
+}
+
+bool ClientMemory::hasRoom(ClientId id, ByteCount wanted) const
+{
+    const auto found = m_clients.find(id);
+    return found != m_clients.end()
+        && heldBeside(found->second) + wanted.value() <= limitFor(wanted);
+}
+
+std::vector<ClientId> ClientMemory::excessConnections(TimePoint now) const
+{
+    if (m_clients.size() <= m_limits.connections)
+        return {};
+    return leastActive(m_clients.size() - m_limits.connections, now);
+}
+
+std::vector<ClientId> ClientMemory::leastActive(std::size_t count, TimePoint now) const
+{
+    std::vector<std::pair<std::pair<Activity, TimePoint>, ClientId>> candidates;
+    for (const auto &[id, client] : m_clients) {
+        if (client.activity != Activity::Running && isStalled(client, now))
+            candidates.push_back({ { client.activity, client.movedAt }, id });
+    }
+    std::ranges::sort(candidates);
+    std::vector<ClientId> result;
+    for (std::size_t i = 0; i < std::min(count, candidates.size()); ++i)
+        result.push_back(candidates[i].second);
+    return result;
+}
+
+std::uint64_t ClientMemory::heldBeside(const Client &client) const
+{
+    const std::uint64_t excess = m_sending - std::min(m_sending, m_limits.total.value());
+    return m_held - client.held + excess;
+}
+
+std::uint64_t ClientMemory::limitFor(ByteCount wanted) const
+{
+    const bool isSmall = wanted.value() <= m_limits.small.value();
+    return m_limits.total.value() - (isSmall ? 0 : m_limits.reserve.value());
+}
+
+bool ClientMemory::isStalled(const Client &client, TimePoint now) const
+{
+    return !client.isWaiting && now - client.movedAt >= m_limits.stallTime;
+}
+
+// Connections that hold a part of a request, those first that have held the most for the longest,
+// which together free at least `needed` bytes. Empty when there are not enough. A small request may
+// also end large ones that move.
+std::vector<ClientId> ClientMemory::victims(ClientId asking, bool isSmall, std::uint64_t needed,
+                                            TimePoint now)
+{
+    if (!isSmall && now < m_searchAt)
+        return {};
+    struct Candidate
+    {
+        double weight = 0;
+        std::uint64_t held = 0;
+        ClientId id;
+    };
+    std::vector<Candidate> candidates;
+    std::uint64_t available = 0;
+    for (const auto &[id, client] : m_clients) {
+        if (id == asking || client.activity != Activity::Receiving)
+            continue;
+        const bool isLarge = client.held > m_limits.small.value();
+        if (!isStalled(client, now) && !(isSmall && isLarge))
+            continue;
+        const auto time = static_cast<double>(1 + (now - client.movedAt).count());
+        candidates.push_back({ static_cast<double>(client.held) * time, client.held, id });
+        available += client.held;
+    }
+    if (available < needed) {
+        m_searchAt = now + m_limits.stallTime / 8;
+        return {};
+    }
+    std::ranges::sort(candidates, [](const Candidate &a, const Candidate &b) {
+        return a.weight != b.weight ? a.weight > b.weight : a.id < b.id;
+    });
+    const std::uint64_t wanted = needed + (isSmall ? 0 : m_limits.total.value() / extraRoomDivisor);
+    std::vector<ClientId> result;
+    std::uint64_t freed = 0;
+    for (std::size_t i = 0; i < candidates.size() && freed < wanted; ++i) {
+        result.push_back(candidates[i].id);
+        freed += candidates[i].held;
+    }
+    return result;
+}
+
+void ClientMemory::endWait(Client &client)
+{
+    if (std::exchange(client.isWaiting, false))
+        --m_waiting;
+}
+
+} // namespace camphorreach
