Bound the memory that clients make a node hold

Cause: a body counted only once its request was complete, so bodies that stop short of their end cost nothing in the books of the HTTP server. Each connection also had up to 128 KiB of buffers, memory was allocated for the announced size of a body, and header fields were not counted. Connections that do nothing kept all others out at the limit, and accept was repeated at once after EMFILE.

Change: HttpServer asks ClientMemory before it parses what it has read, and refuses with 503 or closes those that must make room. Bodies grow as they arrive; large reads use one buffer for all connections. A body must bring 4 KiB in 30 s, instead of ending within 30 s, so that legal slow bodies are not cut. A refused client is read for 1 s and 2 MiB. One connection beyond the limit takes the place of a stalled one. Accept pauses after an error, for clients and for peers.

An ordinary request is answered 200 in all cases. The resident memory is not checked in builds with sanitizers, which keep freed memory; those builds were not run.

--- a/include/camphorreach/impl/clientendpoint.h
+++ b/include/camphorreach/impl/clientendpoint.h
@@ -49,7 +49,7 @@
     /// Receives events. Returns false when the router's ring is full.
     using Sink = std::function<bool(ClientEvent &&)>;
 
-    BasicClientEndpoint(const NetAddress &address, std::size_t maxConnections, Sink sink,
+    BasicClientEndpoint(const NetAddress &address, const ClientMemory::Limits &memory, Sink sink,
                         MetricsRegistry &metrics, Dialect dialect = {})
         : m_dialect(std::move(dialect)), m_sink(std::move(sink)),
           m_requests(metrics.counter("guest.requests")),
@@ -57,9 +57,10 @@
           m_disconnected(metrics.counter("guest.gone")),
           m_latency(metrics.histogram("guest.latency")),
           m_server(
-              m_thread.io(), address, maxConnections,
+              m_thread.io(), address, memory,
               { [this](ExchangeId id, HttpRequest &&request) { onRequest(id, std::move(request)); },
-                [this](ExchangeId id) { onDisconnected(id); } }),
+                [this](ExchangeId id) { onDisconnected(id); } },
+              &metrics),
           m_input(m_thread.io(), ringCapacity,
                   [this](ClientResponse &&response) { onResponse(std::move(response)); })
     { }
--- a/include/camphorreach/impl/httpserver.h
+++ b/include/camphorreach/impl/httpserver.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 server on one io_context that reports clients that disconnect before the response.
 #pragma once
 
+#include <camphorreach/clientmemory.h>
 #include <camphorreach/impl/http.h>
 #include <camphorreach/netaddress.h>
 #include <camphorreach/routetable.h>
@@ -15,6 +16,10 @@
 class io_context;
 }
 
+namespace camphorreach {
+class MetricsRegistry;
+}
+
 namespace camphorreach::impl {
 
 /// Identifies a request and its response; unique within a server.
@@ -33,6 +38,11 @@
     };
 
     /// Binds and listens. Throws boost::system::system_error when the address is not available.
+    /// \a memory limits what all connections together may make the process hold, and their number.
+    HttpServer(boost::asio::io_context &io, const NetAddress &address,
+               const ClientMemory::Limits &memory, Handlers handlers,
+               MetricsRegistry *metrics = nullptr);
+    /// With the default limits for memory.
     HttpServer(boost::asio::io_context &io, const NetAddress &address, std::size_t maxConnections,
                Handlers handlers);
     ~HttpServer();
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -53,6 +53,8 @@
 [[nodiscard]] Endpoint selfEndpoint(const SidecarSettings &settings);
 /// The part of the outgoing bandwidth that messages may use.
 [[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
+/// What the connections of clients may hold, and their number.
+[[nodiscard]] ClientMemory::Limits clientLimits(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 [[nodiscard]] MeshRouter::Options routerOptions(const SidecarSettings &settings);
 /// The settings of the backend server, with the current time as that of reading.
@@ -84,7 +86,6 @@
     static constexpr std::size_t maxInFlight = 2048;
     static constexpr std::size_t controlCapacity = 1024;
     static constexpr std::size_t controlReserve = 64;
-    static constexpr std::size_t maxClientConnections = 2048;
     // The backend server handles one request at a time per connection. A few connections beyond its
     // slots replace those that are being closed.
     static constexpr std::size_t maxBackendConnections = 64;
@@ -144,8 +145,9 @@
       m_routerRandom(seededRandom(settings, 1)), m_membershipRandom(seededRandom(settings, 2)),
       m_catalogRandom(seededRandom(settings, 3)), m_gateRandom(seededRandom(settings, 4)),
       m_path(settings, settings.backendServer.address,
-             { requestCapacity, maxInFlight, controlCapacity, controlReserve, maxClientConnections,
-               maxBackendConnections, warmConnections, usableEgress(settings) },
+             { requestCapacity, maxInFlight, controlCapacity, controlReserve,
+               clientLimits(settings), maxBackendConnections, warmConnections,
+               usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
           std::make_unique<Catalog>(selfEndpoint(settings),
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -2,6 +2,7 @@
 // has them, whichever way it gets its configuration.
 #pragma once
 
+#include <camphorreach/clientmemory.h>
 #include <camphorreach/clock.h>
 #include <camphorreach/gate.h>
 #include <camphorreach/impl/backendendpoint.h>
@@ -61,7 +62,7 @@
         std::size_t maxInFlight = 0;
         std::size_t controlCapacity = 0;
         std::size_t controlReserve = 0;
-        std::size_t clientConnections = 0;
+        ClientMemory::Limits clients {};
         std::size_t backendConnections = 0;
         std::size_t warmConnections = 0;
         ByteRate egressRate {}; ///< Of the machine, as far as messages may use it.
@@ -105,7 +106,7 @@
               [this](Membership::Output &&output) { onMembershipOutput(std::move(output)); },
               sizes.controlCapacity, sizes.controlReserve),
           m_clients(
-              settings.clientAddress, sizes.clientConnections,
+              settings.clientAddress, sizes.clients,
               [this](ClientEvent &&event) { return onClientEvent(std::move(event)); }, metrics),
           m_peers(
               settings.peerAddress,
--- a/src/endpoints/adminendpoint.cpp
+++ b/src/endpoints/adminendpoint.cpp
@@ -38,8 +38,10 @@
         const auto onRequest = [this, i](ExchangeId exchange, HttpRequest &&request) {
             m_servers[i]->respond(exchange, respond(request));
         };
+        // The least memory that the limits allow, because the messages are short.
         m_servers.push_back(std::make_unique<HttpServer>(
-            m_thread.io(), addresses[i], maxConnections, HttpServer::Handlers { onRequest, {} }));
+            m_thread.io(), addresses[i], ClientMemory::limitsFor(ByteCount(), maxConnections),
+            HttpServer::Handlers { onRequest, {} }));
     }
 }
 
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -1,9 +1,14 @@
 // HTTP server sessions on Boost.Beast.
 #include <camphorreach/impl/httpserver.h>
 
+#include <camphorreach/clientmemory.h>
+#include <camphorreach/clock.h>
+#include <camphorreach/log.h>
+#include <camphorreach/metrics.h>
 #include <camphorreach/responseorder.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,28 +31,77 @@
 
 constexpr std::size_t firstReadBytes = 4096;
 constexpr std::size_t bodyReadBytes = 64 * 1024;
+// Reads of one body before other connections have their turn.
+constexpr int maxReadsInTurn = 4;
 // Bytes of one connection that are held beyond a head. They limit what the parser does not, the
 // size line of a chunk with its extensions, and what a client sends ahead.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 // Requests under way and responses that wait for earlier ones, over all connections. Beyond this, a
 // connection has one request under way.
 constexpr std::uint64_t maxBytesUnderWay = 16 * 1024 * 1024;
-// Time limit for a body, from the end of its header.
+// A body must bring so many bytes, or its end, in each such time. At 136 bytes a second, a body of
+// 1 MiB takes two hours.
 constexpr auto bodyTimeout = std::chrono::seconds(30);
+constexpr std::size_t minBodyProgress = 4096;
 constexpr auto writeTimeout = std::chrono::seconds(30);
 // How long a connection is still read after its last response. Closing it with unread data would
 // reset it, and the reset could reach the client before it reads the response.
 constexpr auto lingerTimeout = std::chrono::seconds(1);
+// Bytes that are read and discarded on a connection from which no more requests are read: enough
+// for a body of the maximum size that was on its way.
+constexpr std::size_t maxDiscardedBytes = 2 * maxBodyBytes;
+// Memory of an open connection without a request: the session, its first buffer and its timers.
+constexpr std::size_t connectionBytes = 8 * 1024;
+// Memory for a header field beside its text, as the parser and HttpRequest store it.
+constexpr std::size_t fieldBytes = 128;
+// A request under way exists as the message of the client and as its copy for retries and links.
+constexpr std::uint64_t copiesUnderWay = 2;
+// How often connections that wait for memory or for a descriptor are looked at.
+constexpr auto retryInterval = std::chrono::milliseconds(20);
+constexpr auto acceptRetryInterval = std::chrono::milliseconds(100);
+constexpr auto logInterval = std::chrono::seconds(10);
+
+// Like http::string_body, but memory grows with the body that arrives instead of being allocated
+// for the size that the client announces.
+struct GrowingBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields> &, value_type &body) : m_body(body)
+        { }
+
+        void init(const boost::optional<std::uint64_t> &, ErrorCodeType &error) { error = {}; }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, ErrorCodeType &error)
+        {
+            error = {};
+            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
+                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+            return beast::buffer_bytes(buffers);
+        }
+
+        void finish(ErrorCodeType &error) { error = {}; }
+
+    private:
+        value_type &m_body;
+    };
+};
 
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(asio::io_context &io, const NetAddress &address, std::size_t maxConnections,
-         Handlers handlers)
-        : m_acceptor(io), m_graceTimer(io), m_maxConnections(maxConnections),
-          m_handlers(std::move(handlers))
+    Impl(asio::io_context &io, const NetAddress &address, const ClientMemory::Limits &memory,
+         Handlers handlers, MetricsRegistry *metrics)
+        : m_acceptor(io), m_graceTimer(io), m_acceptTimer(io), m_retryTimer(io),
+          m_handlers(std::move(handlers)), m_memory(memory),
+          m_counters(metrics != nullptr ? *metrics : m_ownMetrics)
     {
         const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
         m_acceptor.open(endpoint.protocol());
@@ -64,10 +118,7 @@
                     return;
                 if (!error)
                     self->open(std::move(socket));
-                if (self->m_sessionCount < self->m_maxConnections)
-                    self->accept();
-                else
-                    self->m_isAcceptPaused = true;
+                self->onAccepted(error);
             });
     }
 
@@ -88,15 +139,72 @@
 
     void reportIfClosed();
 
+    // The asynchronous accept goes on only while there is room for another connection. One more
+    // than the limit is accepted, so that a new client takes the place of one that does nothing.
+    void onAccepted(ErrorCodeType error)
+    {
+        const bool isFull = m_memory.connections() > m_memory.limits().connections;
+        if (!error && !isFull)
+            return accept();
+        m_isAcceptPaused = true;
+        closeExcess(error ? 1 : 0);
+        m_acceptTimer.expires_after(acceptRetryInterval);
+        m_acceptTimer.async_wait([weak = weak_from_this()](ErrorCodeType waitError) {
+            const auto self = weak.lock();
+            if (!waitError && self && self->m_isAcceptPaused && !self->m_isClosing) {
+                self->m_isAcceptPaused = false;
+                self->onAccepted({});
+            }
+        });
+    }
+
+    void closeExcess(std::size_t descriptors);
+    // Asks for memory for a session, and closes those that must make room for it.
+    [[nodiscard]] ClientMemory::Answer ask(const std::shared_ptr<Session> &session,
+                                           std::uint64_t wanted);
+    void retryWaiting();
+    void countPeak();
+    void logShortage();
+    [[nodiscard]] std::shared_ptr<Session> find(ClientId id) const;
+
+    struct Counters
+    {
+        explicit Counters(MetricsRegistry &metrics)
+            : refused(metrics.counter("guest.refused_memory")),
+              closed(metrics.counter("guest.closed_memory")),
+              closedExcess(metrics.counter("guest.closed_connections")),
+              tooLarge(metrics.counter("guest.refused_too_large")),
+              slow(metrics.counter("guest.closed_slow")),
+              peak(metrics.counter("guest.memory_peak_bytes"))
+        { }
+
+        Counter &refused; // requests for which there was no room in time
+        Counter &closed; // connections that made room
+        Counter &closedExcess;
+        Counter &tooLarge; // headers and bodies over their limits
+        Counter &slow; // requests that did not arrive in time
+        Counter &peak; // of the memory that was held
+    };
+
     tcp::acceptor m_acceptor;
     asio::steady_timer m_graceTimer;
-    const std::size_t m_maxConnections;
+    asio::steady_timer m_acceptTimer; // while m_isAcceptPaused
+    asio::steady_timer m_retryTimer; // while m_waiting is not empty
     HttpLimits m_limits;
     Handlers m_handlers;
     std::map<ExchangeId, std::shared_ptr<Session>> m_pending; // requests without a response yet
-    std::map<Session *, std::weak_ptr<Session>> m_sessions;
+    std::map<ClientId, std::weak_ptr<Session>> m_sessions;
+    ClientMemory m_memory; // has an entry for each session
+    std::vector<std::weak_ptr<Session>> m_waiting; // sessions that wait for memory
+    std::array<char, bodyReadBytes> m_received {}; // of one read, until it has been parsed
+    MetricsRegistry m_ownMetrics; // when the process does not collect them
+    Counters m_counters;
+    const Log m_log { "guests" };
+    TimePoint m_nextLogAt {};
+    std::uint64_t m_peak = 0; // of the memory that was held
     std::size_t m_sessionCount = 0;
     std::uint64_t m_bytesUnderWay = 0; // sum over the sessions
+    ClientId m_nextClient { 1 };
     ExchangeId m_nextExchange = 1;
     bool m_isAcceptPaused = false;
     bool m_isDraining = false; // every connection is closed after its next response
@@ -104,39 +212,67 @@
     std::function<void()> m_onClosed; // empty once it has been called
 };
 
-// One connection. It is read all the time, so that its end is noticed whatever the client has sent
-// ahead. Requests are reported as they arrive, and their responses are written in order. Only the
-// response to the last request that was read closes the connection; what follows it is not read.
+// One connection. It is read all the time, except for a short wait for memory, so that its end is
+// noticed whatever the client has sent ahead. Requests are reported as they arrive, and their
+// responses are written in order. Only the response to the last request that was read closes the
+// connection; what follows it is not read.
 class HttpServer::Impl::Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(tcp::socket socket, std::shared_ptr<Impl> server)
-        : m_stream(std::move(socket)), m_server(std::move(server)), m_timer(m_stream.get_executor())
+    Session(tcp::socket socket, std::shared_ptr<Impl> server, ClientId id)
+        : m_stream(std::move(socket)), m_server(std::move(server)), m_id(id),
+          m_timer(m_stream.get_executor())
     { }
 
     ~Session()
     {
         updateBytesUnderWay();
         --m_server->m_sessionCount;
-        m_server->m_sessions.erase(this);
+        m_server->m_sessions.erase(m_id);
+        m_server->m_memory.close(m_id);
         if (m_server->m_isAcceptPaused && !m_server->m_isClosing) {
             m_server->m_isAcceptPaused = false;
-            m_server->accept();
+            m_server->m_acceptTimer.cancel();
+            m_server->onAccepted({});
         }
         m_server->reportIfClosed();
     }
 
+    [[nodiscard]] ClientId id() const noexcept { return m_id; }
+
     void start()
     {
+        reportMemory(0);
         updateTimer();
         read();
     }
 
+    // Continues after a wait for memory.
+    void retry()
+    {
+        if (!std::exchange(m_isAwaitingRoom, false))
+            return;
+        parse();
+        if (m_unread > 0)
+            takeUnread();
+        else
+            read();
+    }
+
+    // Refuses the request of which a part has arrived, and releases the memory.
+    void refuseForRoom()
+    {
+        refuse({ 503,
+                 { { "Retry-After", "1" } },
+                 "not run: clients hold the memory that the process may use for them\n" });
+    }
+
     void respond(ExchangeId exchange, HttpResponse response)
     {
         const ByteCount size(response.body.size());
         if (m_order.complete(exchange, std::move(response), size))
             writeNext();
+        reportMemory(0);
     }
 
     // Closes the connection and reports the requests under way as abandoned by the client.
@@ -149,6 +285,7 @@
                 m_server->m_handlers.onDisconnected(exchange);
         }
         updateBytesUnderWay();
+        reportMemory(0);
     }
 
     void close()
@@ -163,46 +300,143 @@
     void cancelRead() { m_stream.cancel(); }
 
     [[nodiscard]] bool isIdle() const noexcept { return m_order.isEmpty() && !m_response; }
-    [[nodiscard]] bool hasPartialRequest() const { return m_parser || m_buffer.size() > 0; }
+    [[nodiscard]] bool hasPartialRequest() const
+    {
+        return m_parser || m_buffer.size() > 0 || m_unread > 0;
+    }
 
 private:
     // What the connection waits for. Each phase has its own time limit, but Busy has none.
     enum class Phase : std::uint8_t { None, Idle, Header, Body, Busy, Linger };
 
-    using ParserType = http::request_parser<http::string_body>;
+    using ParserType = http::request_parser<GrowingBody>;
 
     void read()
     {
-        const std::size_t room = maxBufferedBytes() - std::min(maxBufferedBytes(), m_buffer.size());
-        if (m_isReading || room == 0)
+        if (m_isReading || m_isAwaitingRoom || readRoom() == 0)
             return;
         m_isReading = true;
-        const bool isBody = m_parser && m_parser->is_header_done();
-        m_received.resize(std::min(room, isBody ? bodyReadBytes : firstReadBytes));
-        if (!isBody)
-            m_received.shrink_to_fit();
         m_stream.expires_never();
         m_stream.async_read_some(
-            asio::buffer(m_received),
+            asio::buffer(m_first.data(), std::min(m_first.size(), readRoom())),
             [self = shared_from_this()](ErrorCodeType error, std::size_t size) {
                 self->m_isReading = false;
                 if (error)
-                    self->onReadEnd();
-                else
-                    self->onRead(size);
+                    return self->onReadEnd();
+                self->m_unread = size;
+                self->takeUnread();
             });
     }
 
-    void onRead(std::size_t size)
+    // Bytes that may be read without exceeding the limits of the connection.
+    [[nodiscard]] std::size_t readRoom() const
     {
-        if (!m_isReadEnded) {
-            asio::buffer_copy(m_buffer.prepare(size), asio::buffer(m_received, size));
-            m_buffer.commit(size);
-            parse();
+        if (m_isReadEnded)
+            return maxDiscardedBytes - std::min(maxDiscardedBytes, m_discarded);
+        return maxBufferedBytes() - std::min(maxBufferedBytes(), m_buffer.size());
+    }
+
+    // Parses what has been read into m_first, once there is memory for it.
+    void takeUnread()
+    {
+        const bool mayFollow = m_unread == m_first.size();
+        if (m_isReadEnded) {
+            m_discarded += std::exchange(m_unread, 0);
+            if (m_isLingering && readRoom() == 0)
+                return close();
+            return read();
+        }
+        switch (ask(heldAfter(m_unread))) {
+        case ClientMemory::Answer::Wait:
+            return;
+        case ClientMemory::Answer::Refuse:
+            refuseForRoom();
+            break;
+        case ClientMemory::Answer::Read:
+            feed(m_first.data(), std::exchange(m_unread, 0));
+            if (mayFollow)
+                readBody();
+            break;
         }
         read();
     }
 
+    // Reads more of a large body, into the buffer that all sessions share.
+    void readBody()
+    {
+        for (int i = 0; i < maxReadsInTurn; ++i) {
+            const bool isBody = m_parser && m_parser->is_header_done() && !m_parser->is_done();
+            ErrorCodeType error;
+            const std::size_t available = m_stream.socket().available(error);
+            const std::size_t size
+                = std::min({ available, readRoom(), m_server->m_received.size() });
+            if (error || !isBody || m_isReadEnded || m_isAwaitingRoom || size <= m_first.size())
+                return;
+            if (!m_server->m_memory.hasRoom(m_id, ByteCount(heldAfter(size))))
+                return; // the next small read asks for it
+            const std::size_t read = m_stream.socket().read_some(
+                asio::buffer(m_server->m_received.data(), size), error);
+            if (error)
+                return;
+            feed(m_server->m_received.data(), read);
+        }
+    }
+
+    void feed(const char *data, std::size_t size)
+    {
+        asio::buffer_copy(m_buffer.prepare(size), asio::buffer(data, size));
+        m_buffer.commit(size);
+        m_receivedInWindow += size;
+        parse();
+        reportMemory(size);
+    }
+
+    // Asks for memory, and arranges the repetition when the session must wait.
+    [[nodiscard]] ClientMemory::Answer ask(std::uint64_t wanted)
+    {
+        const ClientMemory::Answer answer = m_server->ask(shared_from_this(), wanted);
+        m_isAwaitingRoom = answer == ClientMemory::Answer::Wait;
+        return answer;
+    }
+
+    // Memory of this connection as allocated, without the response that is being sent.
+    [[nodiscard]] std::uint64_t held() const
+    {
+        return connectionBytes + m_buffer.capacity() + copiesUnderWay * m_order.bytes().value()
+            + (m_parser ? m_parser->get().body().capacity() + m_fieldBytes : 0);
+    }
+
+    // The most that the connection may hold once `size` more bytes have been parsed. Buffers and
+    // strings at least double when they grow.
+    [[nodiscard]] std::uint64_t heldAfter(std::size_t size) const
+    {
+        std::uint64_t after = held();
+        const std::size_t buffered = 2 * m_buffer.size() + size;
+        after += buffered - std::min(buffered, m_buffer.capacity());
+        if (!m_parser || !m_parser->is_header_done())
+            return after;
+        const std::string &body = m_parser->get().body();
+        const std::size_t next = body.size() + size;
+        if (next > body.capacity())
+            after += std::max(next, 2 * body.capacity()) - body.capacity();
+        return after;
+    }
+
+    void reportMemory(std::size_t received)
+    {
+        ClientMemory::Activity activity = ClientMemory::Activity::Idle;
+        if (!isIdle())
+            activity = ClientMemory::Activity::Running;
+        else if (m_isReadEnded)
+            activity = ClientMemory::Activity::Closing;
+        else if (hasPartialRequest())
+            activity = ClientMemory::Activity::Receiving;
+        const ByteCount sending(m_response ? m_response->body().capacity() : 0);
+        m_server->m_memory.update(m_id, ByteCount(held()), sending, activity, ByteCount(received),
+                                  SteadyClock().now());
+        m_server->countPeak();
+    }
+
     void onReadEnd()
     {
         if (m_order.isEmpty() && m_response && !m_isLingering) {
@@ -218,11 +452,19 @@
     // Reports the complete requests in the buffer, as many as may be under way.
     void parse()
     {
-        while (mayParse()) {
+        while (isComplete() || mayParse()) {
+            if (isComplete()) {
+                if (!admit())
+                    break;
+                continue;
+            }
             if (!m_parser)
                 beginRequest();
             ErrorCodeType error;
+            const bool hadHeader = m_parser->is_header_done();
             m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            if (!hadHeader && m_parser->is_header_done())
+                m_fieldBytes = sizeOfFields(m_parser->get());
             if (error == http::error::need_more) {
                 if (m_buffer.size() >= maxBufferedBytes())
                     refuse(error);
@@ -230,14 +472,47 @@
             }
             if (error)
                 refuse(error);
-            else if (m_parser->is_done())
-                onRequest();
         }
-        if (m_buffer.size() == 0 && m_buffer.capacity() > firstReadBytes)
+        if (m_buffer.capacity() > firstReadBytes + 2 * m_buffer.size())
             m_buffer.shrink_to_fit();
         updateTimer();
     }
 
+    [[nodiscard]] bool isComplete() const { return m_parser && m_parser->is_done(); }
+
+    template <typename Fields>
+    [[nodiscard]] static std::size_t sizeOfFields(const Fields &fields)
+    {
+        std::size_t bytes = 0;
+        for (const auto &field : fields)
+            bytes += field.name_string().size() + field.value().size() + fieldBytes;
+        return bytes;
+    }
+
+    // Reports the complete request, once there is memory for it under way. Returns false when it
+    // waits.
+    [[nodiscard]] bool admit()
+    {
+        const std::uint64_t parsed = m_parser->get().body().capacity() + m_fieldBytes;
+        switch (ask(held() - parsed + copiesUnderWay * requestBytes())) {
+        case ClientMemory::Answer::Wait:
+            return false;
+        case ClientMemory::Answer::Refuse:
+            refuseForRoom();
+            break;
+        case ClientMemory::Answer::Read:
+            onRequest();
+            break;
+        }
+        return true;
+    }
+
+    // Size of the complete request.
+    [[nodiscard]] std::uint64_t requestBytes() const
+    {
+        return m_parser->get().body().size() + m_fieldBytes;
+    }
+
     [[nodiscard]] bool mayParse() const
     {
         if (m_isReadEnded || m_buffer.size() == 0)
@@ -258,8 +533,10 @@
 
     void onRequest()
     {
+        const ByteCount size(requestBytes());
         auto message = m_parser->release();
         m_parser.reset();
+        m_fieldBytes = 0;
         m_phase = Phase::None; // the next request has its own time limits
         if (!message.keep_alive())
             endReading();
@@ -271,21 +548,30 @@
                 { std::string(field.name_string()), std::string(field.value()) });
         request.body = std::move(message.body());
         const ExchangeId exchange = m_server->m_nextExchange++;
-        m_order.admit(exchange, ByteCount(request.body.size()));
+        m_order.admit(exchange, size);
         updateBytesUnderWay();
         m_server->m_pending.emplace(exchange, shared_from_this());
         m_server->m_handlers.onRequest(exchange, std::move(request));
     }
 
-    // Answers a request that cannot be read, after the responses to those before it.
+    // Answers a request that cannot be read.
     void refuse(ErrorCodeType error)
     {
         const bool isHeader = error == http::error::header_limit;
         HttpResponse response { 400, {}, "malformed HTTP: " + error.message() + "\n" };
-        if (isHeader || error == http::error::body_limit)
+        if (isHeader || error == http::error::body_limit) {
+            m_server->m_counters.tooLarge.add();
             response = { static_cast<std::uint16_t>(isHeader ? 431 : 413),
                          {},
                          "the request is larger than the limit\n" };
+        }
+        refuse(std::move(response));
+    }
+
+    // Answers the request that is being read, after the responses to those before it, and ends
+    // reading.
+    void refuse(HttpResponse response)
+    {
         endReading();
         const ExchangeId exchange = m_server->m_nextExchange++;
         m_order.admit(exchange, ByteCount());
@@ -296,8 +582,12 @@
     void endReading()
     {
         m_isReadEnded = true;
+        m_isAwaitingRoom = false;
         m_parser.reset();
+        m_fieldBytes = 0;
+        m_unread = 0;
         m_buffer.clear();
+        m_buffer.shrink_to_fit();
     }
 
     void writeNext()
@@ -331,6 +621,7 @@
             return disconnect();
         writeNext();
         parse();
+        reportMemory(0);
         // A response that was sent before the drain may have announced keep-alive, so the
         // connection stays open until the grace period ends.
         const bool isClosing = m_server->m_isClosing && !hasPartialRequest();
@@ -346,6 +637,7 @@
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         endReading();
         m_isLingering = true;
+        reportMemory(0);
         updateTimer();
         read();
     }
@@ -387,6 +679,7 @@
             m_timer.cancel();
             return;
         }
+        m_receivedInWindow = 0;
         m_timer.expires_after(timeLimit(phase));
         m_timer.async_wait([weak = weak_from_this(), phase](ErrorCodeType error) {
             const auto self = weak.lock();
@@ -400,6 +693,12 @@
         ErrorCodeType error;
         if (phase == Phase::Idle && m_stream.socket().available(error) > 0 && !error)
             return; // a request has arrived and is about to be read
+        if (phase == Phase::Body && (m_isAwaitingRoom || m_receivedInWindow >= minBodyProgress)) {
+            m_phase = Phase::None;
+            return updateTimer();
+        }
+        if (phase == Phase::Header || phase == Phase::Body)
+            m_server->m_counters.slow.add();
         if (isIdle() || phase == Phase::Linger)
             close();
         else
@@ -419,11 +718,17 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer; // at most maxBufferedBytes()
-    std::vector<char> m_received; // of the pending read
+    std::array<char, firstReadBytes> m_first {}; // of the pending read
+    std::size_t m_unread = 0; // bytes of m_first that have been read and not parsed
     std::shared_ptr<Impl> m_server;
+    const ClientId m_id;
     asio::steady_timer m_timer; // of the phase
     Phase m_phase = Phase::None; // the one for which the timer was started
     std::optional<ParserType> m_parser; // while a request is being read
+    std::size_t m_fieldBytes = 0; // memory of the header fields in m_parser
+    std::size_t m_receivedInWindow = 0; // since the timer was started
+    std::size_t m_discarded = 0; // bytes read after m_isReadEnded
+    bool m_isAwaitingRoom = false; // no memory for m_unread or for the complete request
     std::optional<http::response<http::string_body>> m_response; // while it is being written
     ResponseOrder<ExchangeId, HttpResponse> m_order;
     std::uint64_t m_countedBytes = 0; // part of the server's m_bytesUnderWay
@@ -438,11 +743,100 @@
     ErrorCodeType ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ++m_sessionCount;
-    const auto session = std::make_shared<Session>(std::move(socket), shared_from_this());
-    m_sessions.emplace(session.get(), session);
+    const ClientId id = m_nextClient;
+    m_nextClient = next(id);
+    m_memory.open(id, SteadyClock().now());
+    const auto session = std::make_shared<Session>(std::move(socket), shared_from_this(), id);
+    m_sessions.emplace(id, session);
     session->start();
 }
 
+std::shared_ptr<HttpServer::Impl::Session> HttpServer::Impl::find(ClientId id) const
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? nullptr : found->second.lock();
+}
+
+// Closes connections that are beyond the limit, and as many more as `descriptors`.
+void HttpServer::Impl::closeExcess(std::size_t descriptors)
+{
+    const TimePoint now = SteadyClock().now();
+    std::vector<ClientId> excess = m_memory.excessConnections(now);
+    if (excess.empty() && descriptors > 0)
+        excess = m_memory.leastActive(descriptors, now);
+    for (const ClientId id : excess) {
+        const auto session = find(id);
+        if (!session)
+            continue;
+        m_counters.closedExcess.add();
+        session->cancelRead();
+    }
+    if (!excess.empty())
+        logShortage();
+}
+
+ClientMemory::Answer HttpServer::Impl::ask(const std::shared_ptr<Session> &session,
+                                           std::uint64_t wanted)
+{
+    const ClientMemory::Decision decision
+        = m_memory.ask(session->id(), ByteCount(wanted), SteadyClock().now());
+    for (const ClientId id : decision.closed) {
+        if (const auto closed = find(id)) {
+            m_counters.closed.add();
+            closed->refuseForRoom();
+        }
+    }
+    if (decision.answer == ClientMemory::Answer::Refuse)
+        m_counters.refused.add();
+    if (decision.answer == ClientMemory::Answer::Wait) {
+        if (m_waiting.empty()) {
+            m_retryTimer.expires_after(retryInterval);
+            m_retryTimer.async_wait([weak = weak_from_this()](ErrorCodeType error) {
+                const auto self = weak.lock();
+                if (!error && self)
+                    self->retryWaiting();
+            });
+        }
+        m_waiting.push_back(session);
+    }
+    if (decision.answer != ClientMemory::Answer::Read || !decision.closed.empty())
+        logShortage();
+    return decision.answer;
+}
+
+void HttpServer::Impl::countPeak()
+{
+    const std::uint64_t held = m_memory.held().value();
+    if (held <= m_peak)
+        return;
+    m_counters.peak.add(held - m_peak);
+    m_peak = held;
+}
+
+void HttpServer::Impl::retryWaiting()
+{
+    for (const std::weak_ptr<Session> &weak : std::exchange(m_waiting, {})) {
+        if (const auto session = weak.lock())
+            session->retry();
+    }
+}
+
+void HttpServer::Impl::logShortage()
+{
+    const TimePoint now = SteadyClock().now();
+    if (now < m_nextLogAt)
+        return;
+    m_nextLogAt = now + logInterval;
+    m_log.warning("event=clients-over-memory held=" + std::to_string(m_memory.held().value())
+                  + " sending=" + std::to_string(m_memory.sending().value())
+                  + " limit=" + std::to_string(m_memory.limits().total.value())
+                  + " connections=" + std::to_string(m_memory.connections())
+                  + " waiting=" + std::to_string(m_memory.waiting())
+                  + " refused=" + std::to_string(m_counters.refused.value())
+                  + " closed=" + std::to_string(m_counters.closed.value())
+                  + " closed-connections=" + std::to_string(m_counters.closedExcess.value()));
+}
+
 void HttpServer::Impl::respond(ExchangeId exchange, HttpResponse response)
 {
     const auto found = m_pending.find(exchange);
@@ -500,6 +894,8 @@
 {
     m_onClosed = {};
     m_graceTimer.cancel();
+    m_acceptTimer.cancel();
+    m_retryTimer.cancel();
     closeIdle();
     m_pending.clear();
     for (const auto &[key, weak] : m_sessions) {
@@ -508,13 +904,20 @@
     }
 }
 
-HttpServer::HttpServer(asio::io_context &io, const NetAddress &address, std::size_t maxConnections,
-                       Handlers handlers)
-    : m_impl(std::make_shared<Impl>(io, address, maxConnections, std::move(handlers)))
+HttpServer::HttpServer(asio::io_context &io, const NetAddress &address,
+                       const ClientMemory::Limits &memory, Handlers handlers,
+                       MetricsRegistry *metrics)
+    : m_impl(std::make_shared<Impl>(io, address, memory, std::move(handlers), metrics))
 {
     m_impl->accept();
 }
 
+HttpServer::HttpServer(asio::io_context &io, const NetAddress &address, std::size_t maxConnections,
+                       Handlers handlers)
+    : HttpServer(io, address, ClientMemory::Limits { .connections = maxConnections },
+                 std::move(handlers))
+{ }
+
 HttpServer::~HttpServer()
 {
     m_impl->stop();
--- a/src/endpoints/peerendpoint.cpp
+++ b/src/endpoints/peerendpoint.cpp
@@ -31,6 +31,7 @@
 // exhaust the memory.
 constexpr std::size_t maxQueuedBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxIncomingLinks = 4096;
+constexpr auto acceptRetryInterval = std::chrono::milliseconds(100);
 constexpr std::size_t datagramBufferBytes = 65536;
 
 } // namespace
@@ -45,7 +46,7 @@
           m_unsendable(metrics.counter("peer.unsendable")),
           m_datagramBytes(metrics.counter("peer.datagram_bytes_sent")),
           m_streamBytes(metrics.counter("peer.stream_bytes_sent")), m_traffic(metrics),
-          m_acceptor(m_thread.io()), m_datagrams(m_thread.io()),
+          m_acceptor(m_thread.io()), m_acceptTimer(m_thread.io()), m_datagrams(m_thread.io()),
           m_longFrames(m_thread.io(), egressRate,
                        [this](EgressBacklogChanged changed) { deliver(changed); }),
           m_input(m_thread.io(), ringCapacity, [this](PeerCommand &&command) {
@@ -126,6 +127,7 @@
     TrafficCounters m_traffic;
     IoThread m_thread;
     tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer; // after an error
     udp::socket m_datagrams;
     std::array<char, datagramBufferBytes> m_datagramBuffer {};
     udp::endpoint m_datagramSender;
@@ -384,7 +386,15 @@
             self->m_incoming.emplace(id, link);
             link->start();
         }
-        self->accept();
+        if (!error)
+            return self->accept();
+        // An error such as a lack of descriptors lasts, and would keep the thread busy.
+        self->m_acceptTimer.expires_after(acceptRetryInterval);
+        self->m_acceptTimer.async_wait([weak = self->weak_from_this()](ErrorCodeType waitError) {
+            const auto impl = weak.lock();
+            if (!waitError && impl && impl->m_acceptor.is_open())
+                impl->accept();
+        });
     });
 }
 
@@ -393,6 +403,7 @@
     m_onClosed = std::move(onClosed);
     ErrorCodeType ignored;
     m_acceptor.close(ignored);
+    m_acceptTimer.cancel();
     const auto links = m_incoming;
     for (const auto &[id, link] : links)
         link->beginClosing();
@@ -404,6 +415,7 @@
 {
     ErrorCodeType ignored;
     m_acceptor.close(ignored);
+    m_acceptTimer.cancel();
     m_datagrams.close(ignored);
     const auto outgoing = std::exchange(m_outgoing, {});
     const auto draining = std::exchange(m_draining, {});
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -16,6 +16,7 @@
 // Each of the gate's three queues may hold the memory divided by this; the rest is for the process
 // itself and for the buffers of its endpoints.
 constexpr std::size_t queueMemoryDivisor = 16;
+constexpr std::size_t maxClientConnections = 2048;
 constexpr std::size_t bytesPerMb = std::size_t(1) << 20U;
 // Traffic between failure domains is the most expensive resource that a request uses. A larger
 // request only leaves its own failure domain when that has no servers.
@@ -46,6 +47,11 @@
         static_cast<std::uint64_t>(settings.linkMbps * bytesPerMegabit * usableEgressShare));
 }
 
+ClientMemory::Limits clientLimits(const SidecarSettings &settings)
+{
+    return ClientMemory::limitsFor(ByteCount(settings.memoryMb * bytesPerMb), maxClientConnections);
+}
+
 Gate::Limits gateLimits(const SidecarSettings &settings)
 {
     Gate::Limits limits;
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -103,7 +103,8 @@
       m_configurationRandom(impl::seededRandom(settings, 3)),
       m_movesRandom(impl::seededRandom(settings, 4)), m_gateRandom(impl::seededRandom(settings, 5)),
       m_path(settings, settings.backendServer.address,
-             { requestCapacity, maxInFlight, controlCapacity, controlReserve, maxClientConnections,
+             { requestCapacity, maxInFlight, controlCapacity, controlReserve,
+               ClientMemory::Limits { .connections = maxClientConnections },
                settings.backendServer.connections, settings.backendServer.slots },
              pathFilters(), pathHooks(), m_metrics),
       m_configuration(
--- /dev/null
+++ b/tests/clientcrowdtest.cpp
@@ -0,0 +1,244 @@
+// Tests of a real node under crowds of clients that make it hold memory.
+#include "fakestore.h"
+#include "sidecarprocess.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace camphorreach {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using tcp = asio::ip::tcp;
+
+// The sanitizers keep freed memory and shadow memory, so the resident memory of a process that is
+// built with them says nothing about its bound.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool isMemoryMeasured = false;
+#else
+constexpr bool isMemoryMeasured = true;
+#endif
+
+// A connection that sends given bytes and then stays open until the server closes it. It reads
+// nothing.
+class HoldingClient
+{
+public:
+    HoldingClient(asio::io_context &io, const NetAddress &address, const std::string &head,
+                  std::size_t &unfinished)
+        : m_socket(io), m_unfinished(unfinished)
+    {
+        m_socket.connect({ asio::ip::make_address(address.host), address.port });
+        asio::write(m_socket, asio::buffer(head));
+    }
+
+    // Sends `text` `repeats` times, and then `last`.
+    void send(const std::string &text, std::size_t repeats, const std::string &last)
+    {
+        if (repeats == 0 && last.empty()) {
+            --m_unfinished;
+            return;
+        }
+        const std::string &next = repeats > 0 ? text : last;
+        asio::async_write(
+            m_socket, asio::buffer(next),
+            [this, &text, repeats, &last](boost::system::error_code error, std::size_t) {
+                if (error || repeats == 0)
+                    --m_unfinished;
+                else
+                    send(text, repeats - 1, last);
+            });
+    }
+
+private:
+    tcp::socket m_socket;
+    std::size_t &m_unfinished; // clients that are still sending
+};
+
+// What each client of a crowd sends.
+struct Crowd
+{
+    std::string head;
+    std::string part;
+    std::size_t parts = 0;
+    std::string end; // only one client in `completeEvery` sends it
+};
+
+// One node on a machine with little memory, with its own backend server, and a crowd of clients.
+class ClientCrowdFixture
+{
+protected:
+    ClientCrowdFixture()
+        : server([](LoopbackServer &self, impl::ExchangeId id, impl::HttpRequest &&request) {
+              self.respond(id, signedResponse(request));
+          })
+    {
+        const std::vector<NetAddress> addresses = freeAddresses(4);
+        settings.instance = InstanceId("node-1");
+        settings.domain = FailureDomain("arima");
+        settings.clientAddress = addresses[0];
+        settings.peerAddress = addresses[1];
+        settings.readyAddress = addresses[2];
+        settings.announceAddress = addresses[3];
+        settings.backendServer = { server.address(), ServiceName("orders") };
+        settings.platform = store.address();
+        settings.memoryMb = memoryMb;
+        client.start();
+    }
+    ~ClientCrowdFixture() { client.stop(); }
+
+    // An ordinary request, with a body of a few bytes. Returns its status.
+    [[nodiscard]] int order(const std::string &id)
+    {
+        return callOnce(client, settings.clientAddress, requestOf(id, "POST", "/bags/1", "bags"))
+            .status;
+    }
+
+    [[nodiscard]] bool waitUntilServing()
+    {
+        for (std::uint64_t i = 1; i < 500; ++i) {
+            (void)callOnce(client, settings.announceAddress,
+                           announcementOf("i-1", server.address(), i, "ready"));
+            if (order("warm-" + std::to_string(i)) == 200)
+                return true;
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return false;
+    }
+
+    // A field of /proc/PID/status in MB, such as the peak of the resident memory.
+    [[nodiscard]] static std::size_t memoryOf(const SidecarProcess &process,
+                                              const std::string &field)
+    {
+        std::ifstream status("/proc/" + std::to_string(process.id()) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with(field + ":"))
+                return std::stoul(line.substr(field.size() + 1)) / 1024;
+        }
+        return 0;
+    }
+
+    [[nodiscard]] static std::size_t descriptorsOf(const SidecarProcess &process)
+    {
+        const std::filesystem::directory_iterator entries("/proc/" + std::to_string(process.id())
+                                                          + "/fd");
+        return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+    }
+
+    // Starts a node, lets the crowd send and stay, and checks what must hold meanwhile.
+    void checkHolds(const Crowd &crowd)
+    {
+        SidecarProcess node(settings);
+        REQUIRE(waitUntilServing());
+        asio::io_context io;
+        std::size_t unfinished = clientCount;
+        std::vector<std::unique_ptr<HoldingClient>> clients;
+        const std::string none;
+        for (std::size_t i = 0; i < clientCount; ++i) {
+            clients.push_back(std::make_unique<HoldingClient>(io, settings.clientAddress,
+                                                              crowd.head, unfinished));
+        }
+        for (std::size_t i = 0; i < clientCount; ++i)
+            clients[i]->send(crowd.part, crowd.parts, i % completeEvery == 0 ? crowd.end : none);
+        io.run_for(sendTime);
+        CHECK(unfinished == 0);
+        // The connection of this request is accepted after those of the crowd. The node may still
+        // be reading what the system holds for it.
+        CHECK(order("ordinary") == 200);
+        std::this_thread::sleep_for(settleTime);
+        INFO("peak " << memoryOf(node, "VmHWM") << " MB, resident " << memoryOf(node, "VmRSS")
+                     << " MB, descriptors " << descriptorsOf(node));
+        CHECK(order("ordinary-later") == 200);
+        REQUIRE(memoryOf(node, "VmRSS") > 0); // the process lives
+        CHECK(descriptorsOf(node) <= maxDescriptors);
+        if (isMemoryMeasured)
+            CHECK(memoryOf(node, "VmHWM") <= memoryMb);
+        node.send(SIGKILL);
+    }
+
+    [[nodiscard]] static std::string post(const std::string &fields)
+    {
+        return "POST /bags/crowd HTTP/1.1\r\nHost: a.example\r\n"
+               "X-Camphorreach-Deadline-Ms: 1000\r\n"
+            + fields + "\r\n";
+    }
+
+    static constexpr std::uint32_t memoryMb = 40;
+    static constexpr std::size_t clientCount = 300;
+    static constexpr std::size_t maxDescriptors = clientCount + 100;
+    static constexpr std::size_t completeEvery = 10;
+    static constexpr std::size_t bodyBytes = 1'000'000; // the limit in the fake store
+    // Ends a test that hangs. The time has no part in what is checked.
+    static constexpr auto sendTime = std::chrono::seconds(120);
+    static constexpr auto settleTime = milliseconds(1500);
+    impl::IoThread client;
+    FakeStore store;
+    LoopbackServer server;
+    SidecarSettings settings;
+};
+
+// Guards against bodies that are not counted before their end: the node then holds all of them.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_wholeBodiesStopShortOfTheirEnd_staysWithinItsMemory")
+{
+    checkHolds({ post("Content-Length: 1000000\r\n"), std::string(bodyBytes - 1, 'x'), 1, "x" });
+}
+
+// Guards against the same with bodies that grow slowly and all at the same time.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_bodiesComePieceByPiece_staysWithinItsMemory")
+{
+    checkHolds({ post("Content-Length: 1000000\r\n"), std::string(9'999, 'x'), 100,
+                 std::string(100, 'x') });
+}
+
+// Guards against chunked bodies, whose size is not known before their end, that are not counted.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_largeChunksWithoutEnd_staysWithinItsMemory")
+{
+    checkHolds({ post("Transfer-Encoding: chunked\r\n"),
+                 "186A0\r\n" + std::string(100'000, 'x') + "\r\n", 9, "0\r\n\r\n" });
+}
+
+// Guards against buffers for the framing of chunks that are far larger than the content.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_chunksOfOneByteWithoutEnd_staysWithinItsMemory")
+{
+    std::string chunks;
+    for (int i = 0; i < 1000; ++i)
+        chunks += "1\r\nx\r\n";
+    checkHolds({ post("Transfer-Encoding: chunked\r\n"), chunks, 20, "0\r\n\r\n" });
+}
+
+// Guards against memory that is reserved for what a client announces.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_bodiesAnnouncedFarOverTheLimit_staysWithinItsMemory")
+{
+    checkHolds({ post("Content-Length: 100000000\r\n"), std::string(bodyBytes, 'x'), 1, "" });
+}
+
+// Guards against bodies that are held beyond the limit because nothing announced their size.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_bodiesJustSentOverTheLimit_staysWithinItsMemory")
+{
+    checkHolds({ post("Transfer-Encoding: chunked\r\n"),
+                 "F4240\r\n" + std::string(bodyBytes, 'x') + "\r\n", 3, "0\r\n\r\n" });
+}
+
+// Guards against header fields that are not counted: many short ones need several times the bytes
+// that were sent.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_manyShortHeaderFields_staysWithinItsMemory")
+{
+    std::string fields = "Content-Length: 100\r\n";
+    for (int i = 0; i < 2300; ++i)
+        fields += "a:b\r\n";
+    checkHolds({ post(fields), "x", 1, std::string(99, 'x') });
+}
+
+} // namespace
+} // namespace camphorreach
--- a/tests/sidecarprocess.h
+++ b/tests/sidecarprocess.h
@@ -29,6 +29,7 @@
     /// meanwhile.
     [[nodiscard]] std::optional<std::string> nextLine();
     void send(int signal);
+    [[nodiscard]] int id() const { return m_process.id(); }
     /// Replaces the settings file by the original text with \a added at the end. The default, a
     /// comment, changes no setting.
     void touchSettings(const std::string &added = "# changed\n") const;
