--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -53,6 +53,8 @@
 [[nodiscard]] Endpoint selfEndpoint(const SidecarSettings &settings);
 /// The part of the outgoing bandwidth that messages may use.
 [[nodiscard]] ByteRate usableEgress(const SidecarSettings &settings);
+/// What the connections of clients may hold, and their number.
+[[nodiscard]] ClientMemory::Limits clientLimits(const SidecarSettings &settings);
 [[nodiscard]] Gate::Limits gateLimits(const SidecarSettings &settings);
 /// The log line of a change of the evacuated failure domains.
 [[nodiscard]] std::string toText(const EvacuationsChanged &changed);
@@ -87,7 +89,6 @@
     static constexpr std::size_t maxInFlight = 2048;
     static constexpr std::size_t controlCapacity = 1024;
     static constexpr std::size_t controlReserve = 64;
-    static constexpr std::size_t maxClientConnections = 2048;
     // The backend server handles one request at a time per connection. A few connections beyond its
     // slots replace those that are being closed.
     static constexpr std::size_t maxBackendConnections = 64;
@@ -147,8 +148,9 @@
       m_routerRandom(seededRandom(settings, 1)), m_membershipRandom(seededRandom(settings, 2)),
       m_catalogRandom(seededRandom(settings, 3)), m_gateRandom(seededRandom(settings, 4)),
       m_path(settings, settings.backendServer.address,
-             { requestCapacity, maxInFlight, controlCapacity, controlReserve, maxClientConnections,
-               maxBackendConnections, warmConnections, usableEgress(settings) },
+             { requestCapacity, maxInFlight, controlCapacity, controlReserve,
+               clientLimits(settings), maxBackendConnections, warmConnections,
+               usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
           std::make_unique<Catalog>(selfEndpoint(settings),
