--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -67,7 +67,7 @@
 {
     using value_type = std::string;
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that Beast requires
     {
     public:
         template <bool IsRequest, typename Fields>
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -155,7 +155,7 @@
         return;
     }
     // The pages before it were dropped when the call was overdue.
-    if (informer.kind == StoreKind::Evacuations && read == Read::NextPage)
+    if (informer.kind == StoreKind::Evacuations && call.read == Read::NextPage)
         return;
     informer.pendingCall.reset();
     informer.overdueCalls.clear();
