Place requests by expected completion where the settings ask for it

Cause: a slow server with free slots looked free, a request counted as one slot whatever it costs, and the mean of a heavy tail says neither what most requests need nor how long old ones still take.

Change: gates learn the cost of requests by route, method and size as distributions that fade, and the pace of their server by the ranks of its answers. Each answer reports when a new request would start and how long one like it runs. Entry nodes separate cost from pace and choose the least expected completion; near-ties are broken at random and old reports give way to their mean. `[placement] policy` selects it; without it nothing is learned or reported.

--- a/include/camphorreach/balancing.h
+++ b/include/camphorreach/balancing.h
@@ -9,11 +9,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <variant>
 
 namespace camphorreach {
 
 class Target;
 
+/// How the target of a request is selected, as the settings of a process name it.
+enum class PlacementKind : std::uint8_t {
+    LeastOccupied,
+    ExpectedCompletion,
+};
+
 /// A usable endpoint with the load that this node has observed.
 struct Candidate
 {
@@ -25,6 +32,8 @@
     double reportedQueue = 0.0; ///< Queued requests per slot, as last reported by the gate; a hint.
     double occupancy = 0.0; ///< Estimated requests of all nodes at the gate, running or queued.
     double slots = 1.0; ///< As announced; at least one.
+    double startUs = 0.0; ///< Expected time until the request starts, in microseconds.
+    double runUs = 0.0; ///< Expected time that it runs; zero when unknown.
 };
 
 /// Selects an index in a non-empty list of candidates.
@@ -115,6 +124,45 @@
     }
 };
 
+/// The candidate with the least expected completion: its start and the time that the request runs
+/// there. Near-ties are broken at random, so that nodes with the same reports do not all choose the
+/// same candidate.
+struct LeastCompletion
+{
+    /// Candidates within this factor of the best are equal: estimates are no better than that.
+    static constexpr double tieFactor = 1.1;
+    /// Expected time at a candidate without a report, relative to the slowest known one. As with
+    /// LeastOccupied, it may be cold.
+    static constexpr double unknownFactor = 1.5;
+
+    [[nodiscard]] std::size_t pick(std::span<const Candidate> candidates,
+                                   RandomSource &random) const
+    {
+        double maxRun = 0.0;
+        for (const Candidate &candidate : candidates)
+            maxRun = std::max(maxRun, candidate.runUs);
+        if (maxRun <= 0.0)
+            return LeastOccupied {}.pick(candidates, random);
+        const auto completion = [maxRun](const Candidate &candidate) {
+            if (candidate.runUs > 0.0)
+                return candidate.startUs + candidate.runUs;
+            return unknownFactor * maxRun * (1.0 + candidate.inFlight / candidate.slots);
+        };
+        double best = completion(candidates.front());
+        for (const Candidate &candidate : candidates)
+            best = std::min(best, completion(candidate));
+        std::size_t ties = 0;
+        std::size_t chosen = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (completion(candidates[i]) <= best * tieFactor && uniformBelow(random, ++ties) == 0)
+                chosen = i;
+        }
+        return chosen;
+    }
+
+    [[nodiscard]] static constexpr bool usesExpectedCost() noexcept { return true; }
+};
+
 /// A random candidate regardless of load: the baseline for benchmarks.
 struct RandomChoice
 {
@@ -125,8 +173,45 @@
     }
 };
 
+/// A policy that a setting of the process selects.
+class SelectedPolicy
+{
+public:
+    SelectedPolicy() = default;
+    explicit SelectedPolicy(PlacementKind kind)
+    {
+        if (kind == PlacementKind::ExpectedCompletion)
+            m_policy = LeastCompletion {};
+    }
+
+    [[nodiscard]] std::size_t pick(std::span<const Candidate> candidates,
+                                   RandomSource &random) const
+    {
+        return std::visit([&](const auto &policy) { return policy.pick(candidates, random); },
+                          m_policy);
+    }
+
+    [[nodiscard]] bool usesExpectedCost() const noexcept
+    {
+        return std::holds_alternative<LeastCompletion>(m_policy);
+    }
+
+private:
+    std::variant<LeastOccupied, LeastCompletion> m_policy;
+};
+
+/// Whether the candidates of \a policy need expected start and run times.
+template <BalancingPolicy P>
+[[nodiscard]] bool usesExpectedCost(const P &policy) noexcept
+{
+    if constexpr (requires { policy.usesExpectedCost(); })
+        return policy.usesExpectedCost();
+    else
+        return false;
+}
+
 static_assert(
     BalancingPolicy<
-        PowerOfTwoChoices> && BalancingPolicy<LeastCost> && BalancingPolicy<LeastOccupied> && BalancingPolicy<RandomChoice>);
+        PowerOfTwoChoices> && BalancingPolicy<LeastCost> && BalancingPolicy<LeastOccupied> && BalancingPolicy<RandomChoice> && BalancingPolicy<LeastCompletion> && BalancingPolicy<SelectedPolicy>);
 
 } // namespace camphorreach
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -11,6 +11,7 @@
 #include <camphorreach/peermessage.h>
 #include <camphorreach/quarantinespread.h>
 #include <camphorreach/random.h>
+#include <camphorreach/remainingwork.h>
 #include <camphorreach/request.h>
 #include <camphorreach/resultstore.h>
 #include <camphorreach/servicetimes.h>
@@ -62,6 +63,9 @@
         /// except for up to `slots` of them, which wait for idle slots. A queued request leaves the
         /// queue while there is still time to run it elsewhere.
         bool rejectsEarly = false;
+        /// Learns the costs of requests, and reports with its load when a request would start and
+        /// how long it would run.
+        bool estimatesCost = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -78,6 +82,7 @@
 
     [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
     [[nodiscard]] GateLoad load() const noexcept;
+    [[nodiscard]] const RemainingWork &remainingWork() const noexcept { return m_remainingWork; }
     [[nodiscard]] bool isReachable() const noexcept { return m_isReachable; }
     [[nodiscard]] const CrashContainment &containment() const noexcept { return m_containment; }
     [[nodiscard]] const ResultStore &results() const noexcept { return m_results; }
@@ -161,6 +166,7 @@
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
+    RemainingWork m_remainingWork;
     EgressBudget m_egress;
     FairShare m_shares;
     std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
--- a/include/camphorreach/gatequeue.h
+++ b/include/camphorreach/gatequeue.h
@@ -1,6 +1,7 @@
 // The bounded queue of requests that wait for a slot of the backend server.
 #pragma once
 
+#include <camphorreach/expectedcost.h>
 #include <camphorreach/request.h>
 
 #include <cstdint>
@@ -25,6 +26,8 @@
     TimePoint target {}; ///< A response by then meets the route's target latency.
     FairTag tag; ///< Start tag, where routes share the slots by weight.
     Duration egress {}; ///< Bandwidth reserved for the response, as time to send it.
+    CostClass costClass {};
+    Duration expectedWork {}; ///< At the usual pace of the server; zero when unknown.
 };
 
 /// Estimated memory of a queued request in bytes: structure, content and key, but no header fields.
@@ -65,6 +68,7 @@
     [[nodiscard]] bool isEmpty() const noexcept { return m_entries.empty(); }
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
     [[nodiscard]] std::size_t bytes() const noexcept { return m_bytes; }
+    [[nodiscard]] Duration expectedWork() const noexcept { return m_expectedWork; }
 
 private:
     // The first request in the order runs first, the last one is shed first.
@@ -90,6 +94,7 @@
     std::set<std::pair<TimePoint, std::uint64_t>> m_deadlines; // one per entry
     std::map<std::uint64_t, SortKey> m_sortKeys; // by sequence, one per entry
     std::size_t m_bytes = 0; // sum of sizeOf() over m_entries; at most m_limits.bytes
+    Duration m_expectedWork {}; // sum over m_entries
     std::uint64_t m_nextSequence = 0;
 };
 
--- a/include/camphorreach/placement.h
+++ b/include/camphorreach/placement.h
@@ -4,6 +4,7 @@
 #include <camphorreach/attemptend.h>
 #include <camphorreach/balancing.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/fleetcosts.h>
 #include <camphorreach/keyowners.h>
 #include <camphorreach/moveshares.h>
 #include <camphorreach/random.h>
@@ -36,6 +37,7 @@
     /// Draining owners of the key that proved "not run": they refused, or could not be
     /// reached with a fresh key.
     std::vector<InstanceId> drainingOwners;
+    CostClass costClass {}; ///< As Placement::classOf() returned it.
 };
 
 enum class PlacementFailure : std::uint8_t {
@@ -89,10 +91,14 @@
     [[nodiscard]] Result place(const ServicePolicy &service, const IdempotencyKey &key,
                                PlacementState &state, TimePoint now);
 
-    void onSent(const NetAddress &peer);
+    /// The class of the request among those whose costs are learned.
+    [[nodiscard]] CostClass classOf(const RouteName &route, const RequestContent &content);
+    void onSent(const NetAddress &peer, CostClass costClass = {});
     void onEnded(const ServiceName &service, const SentAttempt &attempt, AttemptEnd end,
                  TimePoint now);
     void onLoad(const NetAddress &peer, const GateLoad &load, TimePoint now);
+    /// Learns from the report that answers a request of \a costClass.
+    void onExpectedRun(const NetAddress &peer, CostClass costClass, Duration run);
 
     /// When the next ejection ends.
     [[nodiscard]] std::optional<TimePoint> nextEjectionEnd() const;
@@ -146,6 +152,8 @@
     std::set<std::pair<TimePoint, NetAddress>> m_ejectionEnds; // one per ejected target
     std::optional<TimePoint> m_discoveryEnd; // targets discovered before it are warm
     KeyOwners m_owners;
+    const bool m_usesExpectedCost;
+    FleetCosts m_costs; // unused without m_usesExpectedCost
     std::vector<Candidate> m_candidates; // scratch space of pick()
 };
 
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -112,6 +112,10 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
+    /// Expected time until a new request starts. Zero while a slot is free or it is not known.
+    Duration expectedStart {};
+    /// Expected time that a request like the answered one runs here now; zero when not known.
+    Duration expectedRun {};
 
     friend bool operator==(const GateLoad &, const GateLoad &) = default;
 };
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -69,6 +69,8 @@
         /// limit.
         ByteCount spillBytesPerWeight {};
         RetryBudget::Limits retries {};
+        /// For a \a Policy that leaves the choice to the settings.
+        PlacementKind placement = PlacementKind::LeastOccupied;
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -154,8 +156,8 @@
 using Router = BasicRouter<LeastCost>;
 
 /// The router of a node whose requests are queued at gates only. It balances by the load that the
-/// gates report.
-using MeshRouter = BasicRouter<LeastOccupied>;
+/// gates report, in the way that the settings select.
+using MeshRouter = BasicRouter<SelectedPolicy>;
 
 static_assert(Filter<Router> && Filter<MeshRouter>);
 
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -1,6 +1,7 @@
 // Settings of a node that reads routes and orders from the platform's store, from a TOML file.
 #pragma once
 
+#include <camphorreach/balancing.h>
 #include <camphorreach/localserver.h>
 #include <camphorreach/netaddress.h>
 #include <camphorreach/processsettings.h>
@@ -32,6 +33,7 @@
     Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
     std::uint32_t memoryMb = 256; ///< Bounds the size of buffers.
+    PlacementKind placement = PlacementKind::LeastOccupied;
     double linkMbps = 0; ///< Bandwidth of the machine in Mbit/s; zero when not known.
 };
 
--- a/include/camphorreach/target.h
+++ b/include/camphorreach/target.h
@@ -4,6 +4,7 @@
 #include <camphorreach/balancing.h>
 #include <camphorreach/ejection.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/fleetcosts.h>
 #include <camphorreach/request.h>
 #include <camphorreach/targetlimit.h>
 #include <camphorreach/units.h>
@@ -43,14 +44,20 @@
     /// Usable fraction of the limit: below 1 during slow start, never zero.
     [[nodiscard]] double readiness(TimePoint now) const noexcept;
     [[nodiscard]] Candidate candidate(const Endpoint &endpoint, TimePoint now) noexcept;
+    /// Adds the expected start and run times of a request to \a candidate, if they are known.
+    void expect(Candidate &candidate, const RequestCost &cost, TimePoint now) const noexcept;
 
-    void onSent() noexcept
+    void onSent(Duration work = {}) noexcept
     {
         ++m_inFlight;
         ++m_sentSinceReport;
+        m_workSinceReport += work;
     }
     void onEnded() noexcept;
     void onLoad(const GateLoad &load, TimePoint now) noexcept;
+    /// Time per unit of work, as learned from the reports of the gate; zero when unknown.
+    [[nodiscard]] double pace() const noexcept { return m_pace; }
+    void setPace(double pace) noexcept { m_pace = pace; }
     /// Resets the state for a new process at the same address; requests in flight stay counted.
     void restart(const Endpoint &endpoint, TimePoint now);
     /// Starts a new slow start, after the target has returned from ejection.
@@ -66,6 +73,11 @@
     std::uint32_t m_reportedLoad = 0; // running and queued requests of all nodes
     std::uint32_t m_sentSinceReport = 0; // requests of this node
     TimePoint m_reportedAt {};
+    double m_pace = 0.0;
+    double m_startUs = 0.0; // last reported
+    double m_meanStartUs = 0.0; // moving average of the reports
+    double m_meanLoad = 0.0; // moving average of the reported running and queued requests
+    Duration m_workSinceReport {}; // of the requests in m_sentSinceReport
 };
 
 } // namespace camphorreach
--- a/src/app/bench.cpp
+++ b/src/app/bench.cpp
@@ -14,6 +14,8 @@
     Command { "distribution", "convergence and cost of membership and configuration",
               bench::runDistribution },
     Command { "balancing", "latency under several balancing policies", bench::runBalancing },
+    Command { "placement", "expected cost and other policies on uneven servers",
+              bench::runPlacement },
     Command { "latency", "latency that two nodes add to a call", bench::runLatency },
     Command { "overload", "goodput above the capacity, and recovery", bench::runOverload },
     Command { "retries", "amplification by retries along a chain of calls", bench::runRetries },
--- a/src/bench/benchcommands.h
+++ b/src/bench/benchcommands.h
@@ -6,6 +6,7 @@
 int runGuests(int argc, char **argv);
 int runDistribution(int argc, char **argv);
 int runBalancing(int argc, char **argv);
+int runPlacement(int argc, char **argv);
 int runLatency(int argc, char **argv);
 int runOverload(int argc, char **argv);
 int runRetries(int argc, char **argv);
--- a/src/bench/meshmodel.h
+++ b/src/bench/meshmodel.h
@@ -125,7 +125,13 @@
         : m_loop(loop), m_seed(seed), m_backend(std::move(backend))
     { }
 
-    std::size_t addRouter(const FailureDomain &domain, std::size_t maxInFlight)
+    /// Limits of the gates that are added from now on.
+    void setGateLimits(const Gate::Limits &limits) { m_gateLimits = limits; }
+
+    /// \a options are those of the router, if it has any.
+    template <typename... Options>
+    std::size_t addRouter(const FailureDomain &domain, std::size_t maxInFlight,
+                          const Options &...options)
     {
         const std::size_t index = m_routers.size();
         m_randoms.push_back(std::make_unique<RandomSource>(m_seed * 1000 + index));
@@ -134,7 +140,7 @@
             [this, index](typename R::Output &&output) {
                 onRouterOutput(index, std::move(output));
             },
-            domain, maxInFlight, *m_randoms.back()));
+            domain, maxInFlight, options..., *m_randoms.back()));
         return index;
     }
 
@@ -152,7 +158,7 @@
         endpoint.slots = slots;
         m_table.services[service].push_back(endpoint);
         m_randoms.push_back(std::make_unique<RandomSource>(m_seed * 1000 + 500 + index));
-        Gate::Limits limits;
+        Gate::Limits limits = m_gateLimits;
         limits.slots = slots;
         m_gates.push_back(std::make_unique<Runner<Gate>>(
             m_loop,
@@ -254,6 +260,7 @@
     EventLoop &m_loop;
     const std::uint64_t m_seed;
     Backend m_backend;
+    Gate::Limits m_gateLimits {};
     EndpointTable m_table;
     std::vector<std::unique_ptr<RandomSource>> m_randoms; // one per router and gate
     std::vector<std::unique_ptr<Runner<R>>> m_routers;
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -65,7 +65,7 @@
 template <typename Archive>
 void serialize(Archive &archive, GateLoad &load)
 {
-    archive(load.running, load.queued, load.slots);
+    archive(load.running, load.queued, load.slots, load.expectedStart, load.expectedRun);
 }
 
 template <typename Archive>
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -68,12 +68,14 @@
       m_isAccepting(!limits.needsAnnouncement),
       m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
       m_lateQueue(limits.queue), m_suspectQueue(suspectQueueLimits(limits.queue)),
-      m_results(limits.results), m_containment(limits.crashes), m_egress(limits.egress)
+      m_results(limits.results), m_containment(limits.crashes),
+      m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
 { }
 
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
+    m_remainingWork.setTime(now);
     std::visit(
         Overloaded {
             [&](ForwardReceived &received) { onReceived(std::move(received), now, outbox); },
@@ -106,13 +108,16 @@
     const Duration minTime
         = m_limits.rejectsEarly ? minTimeLeft(received.request.route) : Duration::zero();
     const Digest fingerprint = fingerprintOf(received.request.content);
+    const CostClass costClass = m_remainingWork.classOf(received.request);
     admit({ received.link,
             std::move(received.request),
             answerDeadline - minTime,
             fingerprint,
             answerDeadline,
             target,
-            {} },
+            {},
+            {},
+            costClass },
           now, outbox);
 }
 
@@ -248,6 +253,7 @@
         m_server = std::move(announced.server);
         m_isBackendLeaving = false;
         m_serviceTimes = {};
+        m_remainingWork.reset();
         m_processEndedAt = now;
         detectCrash(now, outbox);
         m_processEndedAt.reset(); // calls lost from now on ran in the new process
@@ -266,6 +272,7 @@
     const auto status = m_containment.statusOf(work.fingerprint, now);
     if (status == CrashContainment::Status::Quarantined)
         return refuse(work, NotRunReason::Quarantined, now, outbox);
+    work.expectedWork = m_remainingWork.work(work.costClass);
     work.tag = m_shares.assignTag(work.request.route, work.request.kindWeight,
                                   m_serviceTimes.mean(work.request.route));
     GateQueue &queue = status == CrashContainment::Status::Suspect ? m_suspectQueue
@@ -334,6 +341,9 @@
     const Call call = std::move(found->second);
     m_running.erase(found);
     m_egress.release(call.work.egress);
+    m_remainingWork.onEnded(result.id,
+                            failure == nullptr && !call.isCancelled
+                                && std::get<Answered>(result.result).status < 500);
     const bool wasInCrash = m_lastCrashCalls.erase(result.id) > 0;
     const bool wasIsolated = m_isolatedCall == result.id;
     if (wasIsolated)
@@ -517,6 +527,7 @@
     ++m_counts.dispatched;
     outbox.emit(BackendCall { id, work.request, m_server });
     work.request.content = {};
+    m_remainingWork.onStarted(id, work.costClass);
     m_running.emplace(id, Call { std::move(work), now });
     return true;
 }
@@ -559,14 +570,17 @@
 
 void Gate::reply(const GateWork &work, Outcome outcome, bool isCrashSuspect, Outbox<Output> &outbox)
 {
+    GateLoad reported = load();
+    reported.expectedRun = m_remainingWork.expectedRun(work.costClass);
     outbox.emit(ForwardReply { work.link,
-                               { work.request.id, std::move(outcome), load(), isCrashSuspect } });
+                               { work.request.id, std::move(outcome), reported, isCrashSuspect } });
 }
 
 void Gate::advance(TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
     m_results.expire(now);
+    m_remainingWork.setTime(now);
     refuseAll(takeFromQueues([&](GateQueue &queue) { return queue.takeExpired(now); }),
               NotRunReason::DeadlinePassed, now, outbox);
     if (const auto repair = m_spread.nextRepair(); repair && *repair <= now)
@@ -594,8 +608,10 @@
 
 GateLoad Gate::load() const noexcept
 {
+    const Duration queuedWork
+        = m_queue.expectedWork() + m_lateQueue.expectedWork() + m_suspectQueue.expectedWork();
     return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(queued()),
-             m_slots };
+             m_slots, m_remainingWork.expectedStart(m_slots, queued(), queuedWork) };
 }
 
 std::size_t Gate::queued() const noexcept
--- a/src/filters/requests/gatequeue.cpp
+++ b/src/filters/requests/gatequeue.cpp
@@ -32,6 +32,7 @@
 {
     const SortKey sortKey = sortKeyOf(work, m_nextSequence++);
     m_bytes += sizeOf(work);
+    m_expectedWork += work.expectedWork;
     m_deadlines.emplace(sortKey.deadline, sortKey.sequence);
     m_sortKeys.emplace(sortKey.sequence, sortKey);
     m_entries.emplace(sortKey, std::move(work));
@@ -56,6 +57,7 @@
     GateWork work = std::move(entry->second);
     const SortKey sortKey = entry->first;
     m_bytes -= sizeOf(work);
+    m_expectedWork -= work.expectedWork;
     m_deadlines.erase({ sortKey.deadline, sortKey.sequence });
     m_sortKeys.erase(sortKey.sequence);
     m_entries.erase(entry);
--- a/src/filters/requests/placement.cpp
+++ b/src/filters/requests/placement.cpp
@@ -20,7 +20,7 @@
 Placement<Policy>::Placement(FailureDomain domain, RandomSource &random, Policy policy,
                              bool hasLimits)
     : m_domain(std::move(domain)), m_random(random), m_policy(std::move(policy)),
-      m_hasLimits(hasLimits), m_subsetSeed(random())
+      m_hasLimits(hasLimits), m_subsetSeed(random()), m_usesExpectedCost(usesExpectedCost(m_policy))
 { }
 
 template <BalancingPolicy Policy>
@@ -238,6 +238,11 @@
                 if (backend.target->hasCapacity(now, m_hasLimits ? fraction : Target::unlimited))
                     m_candidates.push_back(backend.target->candidate(*backend.endpoint, now));
             }
+            if (m_usesExpectedCost) {
+                const RequestCost cost = m_costs.cost(state.costClass);
+                for (Candidate &candidate : m_candidates)
+                    candidate.target->expect(candidate, cost, now);
+            }
             if (!m_candidates.empty())
                 return m_candidates[m_policy.pick(m_candidates, m_random)].endpoint;
         }
@@ -246,9 +251,23 @@
 }
 
 template <BalancingPolicy Policy>
-void Placement<Policy>::onSent(const NetAddress &peer)
+CostClass Placement<Policy>::classOf(const RouteName &route, const RequestContent &content)
+{
+    return m_usesExpectedCost ? m_costs.classOf(route, content) : CostClasses::all;
+}
+
+template <BalancingPolicy Policy>
+void Placement<Policy>::onSent(const NetAddress &peer, CostClass costClass)
 {
-    m_targets.at(peer).onSent();
+    m_targets.at(peer).onSent(m_usesExpectedCost ? m_costs.cost(costClass).work : Duration());
+}
+
+template <BalancingPolicy Policy>
+void Placement<Policy>::onExpectedRun(const NetAddress &peer, CostClass costClass, Duration run)
+{
+    const auto found = m_targets.find(peer);
+    if (m_usesExpectedCost && found != m_targets.end())
+        found->second.setPace(m_costs.onReport(costClass, run, found->second.pace()));
 }
 
 template <BalancingPolicy Policy>
@@ -355,5 +374,7 @@
 template class Placement<LeastCost>;
 template class Placement<LeastOccupied>;
 template class Placement<RandomChoice>;
+template class Placement<LeastCompletion>;
+template class Placement<SelectedPolicy>;
 
 } // namespace camphorreach
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -2,6 +2,7 @@
 #include <camphorreach/router.h>
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 namespace camphorreach {
@@ -27,13 +28,23 @@
     return count;
 }
 
+template <BalancingPolicy Policy>
+Policy makePolicy(PlacementKind kind)
+{
+    if constexpr (std::is_constructible_v<Policy, PlacementKind>)
+        return Policy(kind);
+    else
+        return Policy {};
+}
+
 } // namespace
 
 template <BalancingPolicy Policy>
 BasicRouter<Policy>::BasicRouter(FailureDomain domain, std::size_t maxInFlight, Options options,
                                  RandomSource &random)
     : m_options(options), m_maxInFlight(maxInFlight), m_random(random),
-      m_placement(std::move(domain), random, Policy {}, options.queuesForCapacity),
+      m_placement(std::move(domain), random, makePolicy<Policy>(options.placement),
+                  options.queuesForCapacity),
       m_retryBudget(options.retries), m_queue(std::max<std::size_t>(1, maxInFlight / 2))
 { }
 
@@ -188,6 +199,7 @@
         return;
     }
     PendingRequest &pending = m_requests.at(found->second);
+    m_placement.onExpectedRun(received.from, pending.placement.costClass, answer.load.expectedRun);
     pending.isOwnerUnreachable = false;
     pending.isCrashSuspect = answer.isCrashSuspect;
     onAttemptOutcome(found->second, std::move(answer.outcome), now, outbox);
@@ -231,6 +243,7 @@
     if (!pending.snapshot)
         return false;
     pending.placement.maySpill = maySpill(pending);
+    pending.placement.costClass = m_placement.classOf(pending.route->name, pending.request.content);
     const IdempotencyKey key = pending.requiresOwner() ? pending.request.key : IdempotencyKey();
     const auto result = m_placement.place(*pending.service, key, pending.placement, now);
     if (const auto *endpoint = std::get_if<const Endpoint *>(&result)) {
@@ -324,7 +337,7 @@
     pending.wasSpilled = m_placement.isInOtherDomain(endpoint);
     pending.placement.version.reset(); // every attempt draws a version again
     m_forwards.emplace(forwardId, pending.request.id);
-    m_placement.onSent(endpoint.peer);
+    m_placement.onSent(endpoint.peer, pending.placement.costClass);
 
     outbox.emit(
         PeerSend { endpoint.peer, Transport::Stream, RequestMessage(pending.toForward(now)) });
@@ -588,5 +601,7 @@
 template class BasicRouter<LeastCost>;
 template class BasicRouter<LeastOccupied>;
 template class BasicRouter<RandomChoice>;
+template class BasicRouter<LeastCompletion>;
+template class BasicRouter<SelectedPolicy>;
 
 } // namespace camphorreach
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -51,6 +51,7 @@
     Gate::Limits limits;
     limits.needsAnnouncement = true;
     limits.rejectsEarly = true;
+    limits.estimatesCost = settings.placement == PlacementKind::ExpectedCompletion;
     limits.queue.isFair = true;
     limits.queue.bytes = settings.memoryMb * bytesPerMb / queueMemoryDivisor;
     limits.crashes.crashesToSuspect = crashesToSuspect;
@@ -62,6 +63,7 @@
 {
     MeshRouter::Options options;
     options.queuesForCapacity = false;
+    options.placement = settings.placement;
     options.spillBytesPerWeight = spillBytesPerWeight;
     options.retries = { initialRetryTokens, maxRetryTokens,
                         RetryBudget::FleetLimit { settings.retries.limit, settings.retries.extra,
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -75,6 +75,7 @@
 {
     const GateLoad load = gate.load();
     const Gate::Counts &counts = gate.counts();
+    const RemainingWork &remaining = gate.remainingWork();
     return { { "running", load.running },
              { "queued", load.queued },
              { "slots", load.slots },
@@ -91,6 +92,12 @@
              { "isolated_runs", counts.isolatedRuns },
              { "suspects", gate.containment().suspectCount() },
              { "quarantined", gate.containment().quarantinedCount() },
+             { "expected_start_us", load.expectedStart.count() },
+             { "pace", remaining.pace() },
+             { "cost_classes", remaining.costs().classCount() },
+             { "cost_samples", remaining.counts().samples },
+             { "cost_expected_us", remaining.counts().expected.count() },
+             { "cost_actual_us", remaining.counts().actual.count() },
              { "is_backend_reachable", gate.isReachable() } };
 }
 
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -66,6 +66,16 @@
     reader.reportUnknown();
 }
 
+void readPlacement(SidecarSettings &settings, impl::TomlReader reader)
+{
+    const std::string policy = reader.text("policy");
+    if (policy == "expected-completion")
+        settings.placement = PlacementKind::ExpectedCompletion;
+    else if (policy != "least-occupied")
+        reader.report("policy", "must be \"least-occupied\" or \"expected-completion\"");
+    reader.reportUnknown();
+}
+
 } // namespace
 
 Result<SidecarSettings> parseSidecarSettings(std::string_view text, const std::string &file)
@@ -78,6 +88,8 @@
             impl::readShared(settings, root);
             if (root.contains("retries"))
                 readRetries(settings, root.table("retries"));
+            if (root.contains("placement"))
+                readPlacement(settings, root.table("placement"));
         });
 }
 
--- a/tests/sidecarsettingstest.cpp
+++ b/tests/sidecarsettingstest.cpp
@@ -68,5 +68,23 @@
     CHECK(findings.find("retries.window-ms") != std::string::npos);
 }
 
+// Guards against a placement that changes for deployments that did not ask for it.
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_placementPolicy_isReadAndChecked")
+{
+    const auto placementOf = [](const std::string &table) {
+        const auto settings = parseSidecarSettings(settingsWith("", "") + table, "node.toml");
+        REQUIRE(isOk(settings));
+        return valueOf(settings).placement;
+    };
+    CHECK(placementOf("") == PlacementKind::LeastOccupied);
+    CHECK(placementOf("[placement]\npolicy = \"least-occupied\"\n")
+          == PlacementKind::LeastOccupied);
+    CHECK(placementOf("[placement]\npolicy = \"expected-completion\"\n")
+          == PlacementKind::ExpectedCompletion);
+    CHECK(findingsOf(settingsWith("", "") + "[placement]\npolicy = \"fastest\"\n")
+              .find("placement.policy")
+          != std::string::npos);
+}
+
 } // namespace
 } // namespace camphorreach
