--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -39,7 +39,8 @@
                                       { Digest(2), std::chrono::minutes(5), false } } };
     const std::vector<PeerMessage> messages {
         RequestMessage(fresh),
-        RequestMessage(ForwardResponse { RequestId(1), NotRun {}, { 1, 2, 3, Duration(4), Duration(5) }, true }),
+        RequestMessage(ForwardResponse {
+            RequestId(1), NotRun {}, { 1, 2, 3, Duration(4), Duration(5) }, true }),
         QuarantineMessage(notice),
         LinkMessage(LinkClosing {}),
     };
