--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -13,6 +13,7 @@
 #include <camphorreach/peermessage.h>
 #include <camphorreach/quarantinespread.h>
 #include <camphorreach/random.h>
+#include <camphorreach/remainingwork.h>
 #include <camphorreach/request.h>
 #include <camphorreach/resultstore.h>
 #include <camphorreach/servicetimes.h>
@@ -67,6 +68,9 @@
         /// except for up to `slots` of them, which wait for idle slots. A queued request leaves the
         /// queue while there is still time to run it elsewhere.
         bool rejectsEarly = false;
+        /// Learns the costs of requests, and reports with its load when a request would start and
+        /// how long it would run.
+        bool estimatesCost = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -86,6 +90,7 @@
     [[nodiscard]] bool isEvacuated() const noexcept { return m_isEvacuated; }
     /// Whether the backend server is cold and its requests are limited for that.
     [[nodiscard]] bool isLimitedByColdStart() const noexcept { return m_coldStart.isLimiting(); }
+    [[nodiscard]] const RemainingWork &remainingWork() const noexcept { return m_remainingWork; }
     [[nodiscard]] bool isReachable() const noexcept { return m_isReachable; }
     [[nodiscard]] const CrashContainment &containment() const noexcept { return m_containment; }
     [[nodiscard]] const ResultStore &results() const noexcept { return m_results; }
@@ -172,6 +177,7 @@
     ResultStore m_results;
     CrashContainment m_containment;
     ServiceTimes m_serviceTimes;
+    RemainingWork m_remainingWork;
     EgressBudget m_egress;
     std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
     ColdStartLimiter m_coldStart;
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -77,6 +77,8 @@
         std::optional<Duration> revocation {};
         /// Enforces the quotas of the configuration.
         std::optional<QuotaOptions> quotas {};
+        /// For a \a Policy that leaves the choice to the settings.
+        PlacementKind placement = PlacementKind::LeastOccupied;
     };
 
     /// \a maxInFlight bounds the requests without an outcome. At most half of them may be queued
@@ -172,8 +174,8 @@
 using Router = BasicRouter<LeastCost>;
 
 /// The router of a node whose requests are queued at gates only. It balances by the load that the
-/// gates report.
-using MeshRouter = BasicRouter<LeastOccupied>;
+/// gates report, in the way that the settings select.
+using MeshRouter = BasicRouter<SelectedPolicy>;
 
 static_assert(Filter<Router> && Filter<MeshRouter>);
 
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -85,6 +85,16 @@
     reader.reportUnknown();
 }
 
+void readPlacement(SidecarSettings &settings, impl::TomlReader reader)
+{
+    const std::string policy = reader.text("policy");
+    if (policy == "expected-completion")
+        settings.placement = PlacementKind::ExpectedCompletion;
+    else if (policy != "least-occupied")
+        reader.report("policy", "must be \"least-occupied\" or \"expected-completion\"");
+    reader.reportUnknown();
+}
+
 } // namespace
 
 Result<SidecarSettings> parseSidecarSettings(std::string_view text, const std::string &file)
@@ -101,6 +111,8 @@
                 readEvacuation(settings, root.table("evacuation"));
             if (root.contains("organisations"))
                 readOrganisations(settings, root.table("organisations"));
+            if (root.contains("placement"))
+                readPlacement(settings, root.table("placement"));
         });
 }
 
