--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -33,7 +33,12 @@
                          { "not_run", counts.notRun },
                          { "unknown", counts.unknown },
                          { "retries", counts.retries },
-                         { "unmatched_answers", counts.unmatchedAnswers } };
+                         { "evacuated_domains", router.placement().evacuatedDomainCount() },
+                         { "unmatched_answers", counts.unmatchedAnswers },
+                         { "keys_identified", keys.identified },
+                         { "keys_unknown", keys.unknownKey },
+                         { "keys_unproven", keys.keyUnproven },
+                         { "proof_age_ms", proofAgeMs } };
     if (const Quotas *quotas = router.quotas()) {
         const QuotaLedger::Counts &requests = quotas->counts();
         state["quotas"] = { { "admitted", requests.admitted },
--- a/tests/catalogtest.cpp
+++ b/tests/catalogtest.cpp
@@ -540,7 +540,7 @@
 {
 protected:
     StrictCatalogFixture()
-        : strict(endpoint("a", 1), { Share::fromFraction(0.1), seconds(5) }, random)
+        : strict(endpoint("a", 1), { Share::fromFraction(0.1), false, seconds(5) }, random)
     {
         auto table = std::make_shared<EndpointTable>();
         table->services[ServiceName("orders")] = { endpoint("a", 1), endpoint("b", 2) };
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -92,7 +92,7 @@
     struct Node
     {
         Node(const Endpoint &self, std::uint64_t seed, std::optional<Duration> revocation)
-            : random(seed), catalog(self, { Share::fromFraction(0.1), revocation }, random),
+            : random(seed), catalog(self, { Share::fromFraction(0.1), false, revocation }, random),
               identification(revocation)
         { }
 
