Look keys up and pass verdicts in a way that the linter accepts

Cause: clang-tidy 14 cannot read the ranges of equal_range in this library, and a verdict is trivially copyable, so moving it had no effect. Found by the linter over the changed sources; behaviour is the same.

--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -116,7 +116,7 @@
     [[nodiscard]] std::optional<NotRun> identify(PendingRequest &pending, TimePoint now);
     [[nodiscard]] QuotaDecision admitByQuota(const PendingRequest &pending, TimePoint now,
                                              Outbox<Output> &outbox);
-    void onQuotaVerdict(QuotaVerdict &&verdict, TimePoint now, Outbox<Output> &outbox);
+    void onQuotaVerdict(const QuotaVerdict &verdict, TimePoint now, Outbox<Output> &outbox);
     void handleQuotaOutputs(Outbox<Quotas::Output> outputs, TimePoint now, Outbox<Output> &outbox);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
--- a/src/filters/organisations/keyindex.cpp
+++ b/src/filters/organisations/keyindex.cpp
@@ -36,10 +36,11 @@
 
 std::optional<std::size_t> KeyIndex::find(const ApiKey &key) const
 {
-    const auto candidates = std::ranges::equal_range(m_entries, hashOf(key), {}, &Entry::hash);
-    for (const Entry &entry : candidates) {
-        if (isEqualInConstantTime(entry.key.value(), key.value()))
-            return entry.organisation;
+    const std::uint64_t hash = hashOf(key);
+    auto entry = std::ranges::lower_bound(m_entries, hash, {}, &Entry::hash);
+    for (; entry != m_entries.end() && entry->hash == hash; ++entry) {
+        if (isEqualInConstantTime(entry->key.value(), key.value()))
+            return entry->organisation;
     }
     return std::nullopt;
 }
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -176,16 +176,15 @@
                                              Outbox<Output> &outbox)
 {
     for (Quotas::Output &output : outputs.take())
-        std::visit(
-            Overloaded {
-                [&](PeerSend &send) { outbox.emit(std::move(send)); },
-                [&](QuotaVerdict &verdict) { onQuotaVerdict(std::move(verdict), now, outbox); },
-            },
-            output);
+        std::visit(Overloaded {
+                       [&](PeerSend &send) { outbox.emit(std::move(send)); },
+                       [&](const QuotaVerdict &verdict) { onQuotaVerdict(verdict, now, outbox); },
+                   },
+                   output);
 }
 
 template <BalancingPolicy Policy>
-void BasicRouter<Policy>::onQuotaVerdict(QuotaVerdict &&verdict, TimePoint now,
+void BasicRouter<Policy>::onQuotaVerdict(const QuotaVerdict &verdict, TimePoint now,
                                          Outbox<Output> &outbox)
 {
     const auto found = m_requests.find(verdict.id);
