--- a/tests/configprooftest.cpp
+++ b/tests/configprooftest.cpp
@@ -25,10 +25,10 @@
 class RevocationFixture
 {
 protected:
-    static CatalogWorld::Options options(std::size_t nodes)
+    static CatalogWorld::Options options(std::size_t nodeCount)
     {
         CatalogWorld::Options result;
-        result.nodes = nodes;
+        result.nodes = nodeCount;
         result.routes = 20;
         result.domains = 3;
         result.revocation = revocation;
