--- a/tests/quotaworld.cpp
+++ b/tests/quotaworld.cpp
@@ -231,10 +231,12 @@
             ++counts[node];
     }
     std::vector<std::pair<std::size_t, std::size_t>> byCount;
+    byCount.reserve(counts.size());
     for (const auto &[node, count] : counts)
         byCount.emplace_back(count, node);
     std::ranges::sort(byCount, std::greater<>());
     std::vector<std::size_t> owners;
+    owners.reserve(byCount.size());
     for (const auto &[count, node] : byCount)
         owners.push_back(node);
     return owners;
