--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -267,8 +267,9 @@
     settings.backendServer.address = moved.address();
     sidecars[0]->node->reload(settings);
     sidecars[0]->server = nullptr;
-    HttpRequest announcement = announcementOf("i-moved", moved.address(), 9, "ready");
-    REQUIRE(call(settings.announceAddress, std::move(announcement)).status == 200);
+    const HttpResponse announced
+        = call(settings.announceAddress, announcementOf("i-moved", moved.address(), 9, "ready"));
+    REQUIRE(announced.status == 200);
     HttpResponse response;
     for (int i = 0; i < 200 && response.body != "moved"; ++i) {
         std::this_thread::sleep_for(milliseconds(20));
