Reject a message whose flag is neither 0 nor 1

Cause: the input archive copied a byte of the message into a bool. A peer that sends such a byte could bring about any behaviour of the receiver.

Change: the archive reads the byte, and a value above 1 makes the message malformed, as a length beyond the message does. All flags and optional values are read through this function.

--- a/include/camphorreach/impl/archive.h
+++ b/include/camphorreach/impl/archive.h
@@ -70,6 +70,16 @@
     archive.loadBytes(&value, sizeof(value));
 }
 
+// Copying any other byte than 0 and 1 into a bool is undefined behaviour.
+inline void CEREAL_LOAD_FUNCTION_NAME(CheckedInputArchive &archive, bool &value)
+{
+    std::uint8_t byte = 0;
+    archive.loadBytes(&byte, sizeof(byte));
+    if (byte > 1)
+        throw cereal::Exception("a flag is neither 0 nor 1");
+    value = byte == 1;
+}
+
 template <typename T>
 requires std::is_arithmetic_v<T>
 void CEREAL_SAVE_FUNCTION_NAME(StringOutputArchive &archive, const T &value)
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
 namespace camphorreach::impl {
 namespace {
 
@@ -102,6 +107,31 @@
     CHECK_FALSE(isOk(decodePayload(payload)));
 }
 
+// Guards against undefined behaviour when a flag is read from a message that was not encoded here:
+// the sanitizer ended a process that read the flag of an optional value from a random byte.
+TEST_CASE_METHOD(WireFixture, "Wire_flagNeitherZeroNorOne_isMalformed")
+{
+    CatalogDigest digest;
+    const Envelope plain { { "127.0.0.1", 9000 }, CatalogMessage(digest) };
+    SECTION("in a message")
+    {
+        digest.isAnswer = true;
+    }
+    SECTION("in an optional value")
+    {
+        digest.versions.evacuations = ObjectVersion(7);
+    }
+    const Envelope flagged { plain.sender, CatalogMessage(digest) };
+    std::string payload = encodePayload(plain);
+    const std::string flaggedPayload = encodePayload(flagged);
+    const auto flag = std::ranges::mismatch(payload, flaggedPayload).in1;
+    REQUIRE(flag != payload.end());
+    *flag = 31;
+    const auto decoded = decodePayload(payload);
+    REQUIRE_FALSE(isOk(decoded));
+    CHECK(errorOf(decoded).code == ErrorCode::Malformed);
+}
+
 TEST_CASE_METHOD(WireFixture, "Wire_otherProtocolVersion_isMalformed")
 {
     std::string payload = encodePayload(requestEnvelope());
