Count slow attempts of a rollout at the age at which they are slow

Cause: slow responses of the candidate were counted when they arrived, seconds after they were sent, so their rate stayed far below that among the requests sent, and sank with every step of the share. Besides, a node that had just started and knew no other member led its own rollout and raised its share on its own few responses.

Change: while a rollout is under way, the router reports the start of each attempt, and of one that ends without evidence its end. LatencyEvidence settles each attempt at the age at which its route counts as slow, ended or not; the rate of slow attempts is that among the settled ones, and the share grows only on them. A leader directs the share only while more than half of the other members report to it; a verdict needs no majority. The tests of rollouts now end each attempt after its latency instead of at once.

--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -111,6 +111,7 @@
     [[nodiscard]] bool onControlMessage(PeerEvent &&event);
     void onStoreReply(StoreUser user, StoreReply &&reply);
     void onCatalogOutput(Catalog::Output &&output);
+    void onAttempt(AttemptEvent &&event);
     void onRolloutsOutput(Rollouts::Output &&output);
     void onLocalServerOutput(LocalServer::Output &&output);
     void onBackendAnnounced(BackendAnnounced &&announced);
@@ -123,6 +124,7 @@
     const SidecarSettings m_settings;
     const Log m_log { "node" };
     MetricsRegistry m_metrics;
+    bool m_hasLostAttempts = false; // since the last event that was pushed; of the router's thread
     Counter &m_samplesDropped = m_metrics.counter("rollouts.samples_dropped_ring_full");
     std::atomic<bool> m_hasConfiguration { false }; // never reset
     std::atomic<bool> m_isStopping { false }; // never reset
@@ -196,10 +198,7 @@
             request.caller = m_caller;
         },
         [this](PeerEvent &&event) { return onControlMessage(std::move(event)); },
-        [this](RequestSample &&sample) {
-            if (!m_rollouts.ring().tryPush(std::move(sample)))
-                m_samplesDropped.add();
-        },
+        [this](AttemptEvent &&event) { onAttempt(std::move(event)); },
         [this](const EndpointsChanged &changed) {
             (void)m_catalog.ring().tryPush(changed); // superseded by the next table
             (void)m_rollouts.ring().tryPush(changed);
@@ -210,6 +209,19 @@
     };
 }
 
+// Runs on the router's thread.
+template <PlatformDialect Dialect>
+void MeshNode<Dialect>::onAttempt(AttemptEvent &&event)
+{
+    const auto push
+        = [this](Rollouts::Input &&input) { return m_rollouts.ring().tryPush(std::move(input)); };
+    const bool isPushed = (!m_hasLostAttempts || push(AttemptsLost {}))
+        && std::visit([&push](auto &item) { return push(std::move(item)); }, event);
+    m_hasLostAttempts = !isPushed;
+    if (!isPushed)
+        m_samplesDropped.add();
+}
+
 template <PlatformDialect Dialect>
 bool MeshNode<Dialect>::onControlMessage(PeerEvent &&event)
 {
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -84,7 +84,7 @@
         std::function<bool(PeerEvent &&)> onControl;
         /// Must not block: the router never waits for another stage, so that stages cannot deadlock
         /// in a cycle.
-        std::function<void(RequestSample &&)> onSample;
+        std::function<void(AttemptEvent &&)> onAttempt;
         std::function<void(const EndpointsChanged &)> onEndpoints;
         std::function<void(bool)> onReachable;
     };
@@ -251,21 +251,23 @@
 
     void onRouterOutput(typename R::Output &&output)
     {
-        std::visit(Overloaded {
-                       [this](ClientResponse &answer) {
-                           const auto *answered = std::get_if<Answered>(&answer.outcome);
-                           if (answered != nullptr
-                               && answered->body.size() >= longMessageSize.value())
-                               m_peers.ring().push(EgressUsed { ByteCount(answered->body.size()) });
-                           m_clients.ring().push(std::move(answer));
-                       },
-                       [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
-                       [this](RouterDecision &decision) {
-                           m_routerLog.write(decision, SteadyClock().now());
-                       },
-                       [this](RequestSample &sample) { m_hooks.onSample(std::move(sample)); },
-                   },
-                   output);
+        std::visit(
+            Overloaded {
+                [this](ClientResponse &answer) {
+                    const auto *answered = std::get_if<Answered>(&answer.outcome);
+                    if (answered != nullptr && answered->body.size() >= longMessageSize.value())
+                        m_peers.ring().push(EgressUsed { ByteCount(answered->body.size()) });
+                    m_clients.ring().push(std::move(answer));
+                },
+                [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
+                [this](RouterDecision &decision) {
+                    m_routerLog.write(decision, SteadyClock().now());
+                },
+                [this](AttemptStarted &started) { m_hooks.onAttempt(std::move(started)); },
+                [this](RequestSample &sample) { m_hooks.onAttempt(std::move(sample)); },
+                [this](AttemptAbandoned &abandoned) { m_hooks.onAttempt(std::move(abandoned)); },
+            },
+            output);
     }
 
     void onGateOutput(Gate::Output &&output)
--- a/include/camphorreach/moveshares.h
+++ b/include/camphorreach/moveshares.h
@@ -20,6 +20,8 @@
     /// Version of a rollout. It receives candidateShare of the requests and the baseline the rest.
     std::optional<BackendVersion> candidate {};
     Share candidateShare {};
+    /// A rollout is under way. The router reports the start of every attempt.
+    bool isObserved = false;
 };
 
 struct MoveShares
--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -23,6 +23,7 @@
     {
         RequestId forwardId;
         SentAttempt sentAttempt;
+        bool isObserved = false; ///< Its start was reported.
     };
 
     ClientRequest request;
--- a/include/camphorreach/placement.h
+++ b/include/camphorreach/placement.h
@@ -86,6 +86,8 @@
         return m_evacuated ? m_evacuated->size() : 0;
     }
 
+    /// Whether a rollout of the service is under way.
+    [[nodiscard]] bool isObserved(const ServiceName &service) const;
     /// Whether the instance announces that it is draining, so that it accepts no new requests.
     [[nodiscard]] bool isDraining(const ServiceName &service, const InstanceId &instance) const;
     [[nodiscard]] bool isInOtherDomain(const Endpoint &endpoint) const
--- a/include/camphorreach/requestsample.h
+++ b/include/camphorreach/requestsample.h
@@ -1,4 +1,4 @@
-// One observed attempt, as input to the canary analysis of moves.
+// Observed attempts, as input to the canary analysis of moves and rollouts.
 #pragma once
 
 #include <camphorreach/ids.h>
@@ -6,6 +6,7 @@
 #include <camphorreach/units.h>
 
 #include <cstdint>
+#include <variant>
 
 namespace camphorreach {
 
@@ -24,6 +25,32 @@
     Duration latency {};
     bool isAnswered = false; ///< The backend server answered, with success or failure.
     bool isCrashSuspect = false; ///< The request is suspected of crashing backend servers.
+    RequestId attempt {}; ///< Of the AttemptStarted; empty if none was sent.
 };
 
+/// The entry node has sent an attempt to a service whose rollout is under way. A RequestSample or
+/// an AttemptAbandoned follows.
+struct AttemptStarted
+{
+    ServiceName service;
+    RouteName route;
+    BackendVersion version;
+    RequestId attempt;
+    TimePoint sentAt {};
+};
+
+/// The attempt has ended without evidence about the version, for instance because its client has
+/// disconnected.
+struct AttemptAbandoned
+{
+    ServiceName service;
+    RequestId attempt;
+};
+
+using AttemptEvent = std::variant<AttemptStarted, RequestSample, AttemptAbandoned>;
+
+/// Events were dropped, so that the ends of earlier attempts may never be known.
+struct AttemptsLost
+{ };
+
 } // namespace camphorreach
--- a/include/camphorreach/rolloutmessage.h
+++ b/include/camphorreach/rolloutmessage.h
@@ -14,13 +14,15 @@
 {
     std::uint64_t requests = 0;
     std::uint64_t failures = 0; ///< Responses that the backend server itself marked as failed.
-    /// Timeouts, and responses that took several times the usual latency of their route.
-    std::uint64_t slow = 0;
+    /// Attempts that were sent longer ago than the time after which their route counts as slow.
+    std::uint64_t settled = 0;
+    std::uint64_t slow = 0; ///< Of the settled ones, those without a response within that time.
 
     RolloutCounts &operator+=(const RolloutCounts &other) noexcept
     {
         requests += other.requests;
         failures += other.failures;
+        settled += other.settled;
         slow += other.slow;
         return *this;
     }
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -43,7 +43,8 @@
                                LinkDown, SnapshotChanged, EndpointsChanged, MoveSharesChanged,
                                DrainSchedule, EvacuationsChanged, ConfigurationProven,
                                NewerConfigurationKnown, PeerReceived<QuotaMessage>>;
-    using Output = std::variant<ClientResponse, PeerSend, RequestSample, RouterDecision>;
+    using Output = std::variant<ClientResponse, PeerSend, AttemptStarted, RequestSample,
+                                AttemptAbandoned, RouterDecision>;
 
     struct Counts
     {
@@ -137,9 +138,9 @@
                   TimePoint now, Outbox<Output> &outbox);
     void retryOrReject(PendingRequest &pending, NotRun notRun, const SentAttempt &sentAttempt,
                        TimePoint now, Outbox<Output> &outbox);
-    void emitSample(const PendingRequest &pending, const SentAttempt &sentAttempt,
-                    SampleResult result, bool isAnswered, TimePoint now,
-                    Outbox<Output> &outbox) const;
+    void emitSample(const PendingRequest &pending, SampleResult result, bool isAnswered,
+                    TimePoint now, Outbox<Output> &outbox) const;
+    void emitAbandoned(const PendingRequest &pending, Outbox<Output> &outbox) const;
     void finish(RequestId requestId, Outcome outcome, TimePoint now, Outbox<Output> &outbox);
     void emitDecision(const PendingRequest &pending, const Outcome &outcome, TimePoint now,
                       Outbox<Output> &outbox) const;
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -211,7 +211,7 @@
 template <typename Archive>
 void serialize(Archive &archive, RolloutCounts &counts)
 {
-    archive(counts.requests, counts.failures, counts.slow);
+    archive(counts.requests, counts.failures, counts.settled, counts.slow);
 }
 
 template <typename Archive>
--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -15,9 +15,8 @@
 // A node that receives no directive keeps its share for this long. Then a candidate that does not
 // have all traffic yet falls back to its trial share.
 constexpr Duration directiveLifetime = std::chrono::seconds(2);
-constexpr std::size_t maxRoutes = 1024;
-constexpr double smoothing = 0.1; // weight of a new latency in the average
-constexpr double slowMarginUs = 15'000; // smaller differences may be due to scheduling
+// A member whose latest report is older than this counts as not reporting.
+constexpr Duration reportLifetime = std::chrono::seconds(2);
 constexpr Duration writeRetryDelay = std::chrono::milliseconds(300);
 // Time for requests that were routed before the last step to leave the old versions.
 constexpr Duration drainTime = std::chrono::milliseconds(1500);
@@ -43,7 +42,10 @@
                 for (const RolloutOrder &order : changed.orders)
                     onOrder(order, now);
             },
+            [&](AttemptStarted &started) { onStarted(started); },
             [&](RequestSample &sample) { onSample(sample, now); },
+            [&](AttemptAbandoned &abandoned) { onAbandoned(abandoned); },
+            [&](AttemptsLost &) { onAttemptsLost(); },
             [&](PeerReceived<RolloutMessage> &received) { onMessage(received.message, now); },
             [&](EndpointsChanged &changed) { onEndpoints(changed); },
             [&](StoreReply &reply) { onReply(reply, now); },
@@ -75,7 +77,7 @@
         rollout->second.order = order;
         return;
     }
-    ActiveRollout started;
+    ActiveRollout started(m_policy.slowFactor);
     started.order = order;
     started.startedAt = now;
     started.share = m_policy.trialShare;
@@ -85,52 +87,70 @@
         m_nextUpdate = now;
 }
 
+void Rollouts::onStarted(const AttemptStarted &started)
+{
+    const auto found = m_rollouts.find(started.service);
+    if (found != m_rollouts.end())
+        found->second.latency.onStarted(started, started.version == found->second.order.target);
+}
+
+void Rollouts::onAbandoned(const AttemptAbandoned &abandoned)
+{
+    const auto found = m_rollouts.find(abandoned.service);
+    if (found != m_rollouts.end())
+        found->second.latency.onAbandoned(abandoned.attempt);
+}
+
+void Rollouts::onAttemptsLost()
+{
+    for (auto &[service, rollout] : m_rollouts)
+        rollout.latency.onLost();
+}
+
 // Only responses and timeouts count. A lost connection or a refusal depends on the machine rather
 // than on the version, and failures of the version itself are responses.
 void Rollouts::onSample(const RequestSample &sample, TimePoint now)
 {
     const auto found = m_rollouts.find(sample.service);
-    if (found == m_rollouts.end() || sample.isCrashSuspect)
+    if (found == m_rollouts.end())
         return;
+    ActiveRollout &rollout = found->second;
     const bool isCounted = sample.result == SampleResult::Success
         || (sample.result == SampleResult::Failure && sample.isAnswered)
         || sample.result == SampleResult::Timeout;
-    if (!isCounted)
-        return;
-    ActiveRollout &rollout = found->second;
+    if (!isCounted || sample.isCrashSuspect)
+        return rollout.latency.onAbandoned(sample.attempt);
     const bool isCandidate = sample.version == rollout.order.target;
     RolloutCounts &counts = isCandidate ? rollout.candidate : rollout.baseline;
     ++counts.requests;
-    const auto latency = static_cast<double>(sample.latency.count());
-    const auto average = rollout.baselineLatencyUs.find(sample.route);
-    const bool isSlow = average != rollout.baselineLatencyUs.end()
-        && latency > m_policy.slowFactor * average->second + slowMarginUs;
-    counts.slow += isSlow || sample.result == SampleResult::Timeout ? 1 : 0;
     counts.failures += sample.result == SampleResult::Failure ? 1 : 0;
-    if (!isCandidate && sample.result == SampleResult::Success) {
-        if (average != rollout.baselineLatencyUs.end())
-            average->second += smoothing * (latency - average->second);
-        else if (rollout.baselineLatencyUs.size() < maxRoutes)
-            rollout.baselineLatencyUs.emplace(sample.route, latency);
-    }
-    // The evidence of this node stops its own requests at once, without a directive.
-    if (isCandidate && !rollout.isBad && isRegression(rollout.baseline, rollout.candidate)) {
-        rollout.isBad = true;
-        rollout.share = Share::none();
-        m_hasChanged = true;
-        m_nextUpdate = now;
-    }
+    rollout.latency.onEnded(sample, isCandidate);
+    if (isCandidate)
+        stopIfRegression(rollout, now);
+}
+
+// The evidence of this node stops its own requests at once, without a directive.
+void Rollouts::stopIfRegression(ActiveRollout &rollout, TimePoint now)
+{
+    if (rollout.isBad || !isRegression(rollout.baseline, rollout.candidate))
+        return;
+    rollout.isBad = true;
+    rollout.share = Share::none();
+    m_hasChanged = true;
+    m_nextUpdate = now;
 }
 
 bool Rollouts::isRegression(const RolloutCounts &baseline, const RolloutCounts &candidate) const
 {
-    const auto exceeds = [&](std::uint64_t adverse, std::uint64_t baselineAdverse, double limit) {
-        const double baselineRate = ratio(baselineAdverse, baseline.requests);
-        return adverse >= m_policy.minAdverse
-            && ratio(adverse, candidate.requests) > std::max(limit, 2.0 * baselineRate + limit / 2);
-    };
-    return exceeds(candidate.failures, baseline.failures, m_policy.maxFailureRate)
-        || exceeds(candidate.slow, baseline.slow, m_policy.maxSlowRate);
+    const auto exceeds
+        = [&](std::uint64_t adverse, double rate, double baselineRate, double limit) {
+              return adverse >= m_policy.minAdverse
+                  && rate > std::max(limit, 2.0 * baselineRate + limit / 2);
+          };
+    return exceeds(candidate.failures, ratio(candidate.failures, candidate.requests),
+                   ratio(baseline.failures, baseline.requests), m_policy.maxFailureRate)
+        || exceeds(candidate.slow, ratio(candidate.slow, candidate.settled),
+                   ratio(baseline.slow, baseline.settled), m_policy.maxSlowRate);
 }
 
 void Rollouts::onMessage(const RolloutMessage &message, TimePoint now)
@@ -142,7 +162,7 @@
                 if (found == m_rollouts.end() || found->second.order.target != report.target)
                     return;
                 found->second.startedAt = std::min(found->second.startedAt, now - report.elapsed);
-                found->second.reports.insert_or_assign(report.node, report);
+                found->second.reports.insert_or_assign(report.node, ReceivedReport { report, now });
             },
             [&](const RolloutDirective &directive) {
                 const auto found = m_rollouts.find(directive.service);
@@ -194,6 +214,22 @@
     });
 }
 
+bool Rollouts::hasReportsOfMost(const ActiveRollout &rollout, TimePoint now) const
+{
+    std::size_t others = 0;
+    std::size_t reporting = 0;
+    for (const Endpoint &member : m_members) {
+        if (member.instance == m_self.instance)
+            continue;
+        ++others;
+        const auto found = rollout.reports.find(member.instance);
+        const bool isReporting
+            = found != rollout.reports.end() && now - found->second.receivedAt <= reportLifetime;
+        reporting += isReporting ? 1 : 0;
+    }
+    return 2 * reporting > others;
+}
+
 void Rollouts::advance(TimePoint now, Outbox<Output> &outbox)
 {
     if (!m_nextUpdate || now < *m_nextUpdate)
@@ -206,11 +242,18 @@
 
 void Rollouts::update(ActiveRollout &rollout, TimePoint now, Outbox<Output> &outbox)
 {
+    rollout.latency.settle(rollout.baseline, rollout.candidate);
+    stopIfRegression(rollout, now);
     if (isLeading()) {
         updateAsLeader(rollout, now, outbox);
         return;
     }
     sendReports(rollout, now, outbox);
+    expireDirective(rollout, now);
+}
+
+void Rollouts::expireDirective(ActiveRollout &rollout, TimePoint now)
+{
     const bool isStale = now - rollout.directiveAt > directiveLifetime;
     if (isStale && rollout.share > m_policy.trialShare && rollout.share != Share::all()) {
         rollout.share = m_policy.trialShare;
@@ -222,11 +265,16 @@
 {
     RolloutCounts baseline = rollout.baseline;
     RolloutCounts candidate = rollout.candidate;
-    for (const auto &[node, report] : rollout.reports) {
-        baseline += report.baseline;
-        candidate += report.candidate;
+    for (const auto &[node, received] : rollout.reports) {
+        baseline += received.report.baseline;
+        candidate += received.report.candidate;
     }
     rollout.isBad = rollout.isBad || isRegression(baseline, candidate);
+    if (!rollout.isBad && !hasReportsOfMost(rollout, now)) {
+        sendReports(rollout, now, outbox);
+        expireDirective(rollout, now);
+        return;
+    }
     const Share share = plannedShare(rollout, candidate, now);
     if (share != rollout.share) {
         rollout.share = share;
@@ -255,7 +303,7 @@
     const double progress = ratio(static_cast<std::uint64_t>((now - rollout.startedAt).count()),
                                   static_cast<std::uint64_t>(rollout.order.ramp.count()));
     Share share = m_policy.trialShare;
-    if (candidate.requests < m_policy.minResponses)
+    if (candidate.settled < m_policy.minSettled)
         return share;
     for (std::size_t step = 0; step < m_policy.stepFractions.size(); ++step) {
         if (progress >= m_policy.stepFractions[step])
@@ -318,6 +366,7 @@
         ServiceShares &entry = shares->services[service];
         entry.candidate = rollout.order.target;
         entry.candidateShare = rollout.share;
+        entry.isObserved = true;
         if (rollout.isBad)
             entry.banned.insert(rollout.order.target);
     }
--- a/src/filters/requests/placement.cpp
+++ b/src/filters/requests/placement.cpp
@@ -177,6 +177,15 @@
                                                                                     : stable;
 }
 
+template <BalancingPolicy Policy>
+bool Placement<Policy>::isObserved(const ServiceName &service) const
+{
+    if (!m_shares)
+        return false;
+    const auto found = m_shares->services.find(service);
+    return found != m_shares->services.end() && found->second.isObserved;
+}
+
 template <BalancingPolicy Policy>
 bool Placement<Policy>::isDraining(const ServiceName &service, const InstanceId &instance) const
 {
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -285,8 +285,10 @@
     ++m_counts.cancelled;
     PendingRequest &pending = found->second;
     const ServiceName service = pending.serviceName;
-    if (pending.current)
+    if (pending.current) {
+        emitAbandoned(pending, outbox);
         cancelAttempt(pending, AttemptEnd::Inconclusive, now, outbox);
+    }
     m_queue.erase(disconnected.id);
     m_deadlines.erase({ pending.deadline, disconnected.id });
     m_requests.erase(found);
@@ -437,9 +439,10 @@
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
     const RequestId forwardId(m_nextForwardId++);
-    pending.current = PendingRequest::Current {
-        forwardId, { endpoint.peer, endpoint.instance, endpoint.version, endpoint.domain, now }
-    };
+    pending.current = PendingRequest::Current { forwardId,
+                                                { endpoint.peer, endpoint.instance,
+                                                  endpoint.version, endpoint.domain, now },
+                                                m_placement.isObserved(pending.serviceName) };
     pending.lastTarget = endpoint.instance;
     pending.wasSpilled = m_placement.isInOtherDomain(endpoint);
     pending.placement.version.reset(); // every attempt draws a version again
@@ -448,6 +451,9 @@
 
     outbox.emit(
         PeerSend { endpoint.peer, Transport::Stream, RequestMessage(pending.toForward(now)) });
+    if (pending.current->isObserved)
+        outbox.emit(AttemptStarted { pending.serviceName, pending.route->name, endpoint.version,
+                                     forwardId, now });
 }
 
 // Ends the current attempt: retries the request where that is safe, else answers the client.
@@ -460,8 +466,9 @@
     const SentAttempt sentAttempt = pending.current->sentAttempt;
     const auto sample = sampleResultOf(outcome);
     if (sample)
-        emitSample(pending, sentAttempt, *sample, std::holds_alternative<Answered>(outcome), now,
-                   outbox);
+        emitSample(pending, *sample, std::holds_alternative<Answered>(outcome), now, outbox);
+    else
+        emitAbandoned(pending, outbox);
     if (sample == SampleResult::Success)
         m_routeLatencies.record(service, pending.route->name, now - sentAttempt.sentAt);
     if (const auto *answer = std::get_if<Answered>(&outcome))
@@ -561,14 +568,22 @@
 }
 
 template <BalancingPolicy Policy>
-void BasicRouter<Policy>::emitSample(const PendingRequest &pending, const SentAttempt &sentAttempt,
-                                     SampleResult result, bool isAnswered, TimePoint now,
-                                     Outbox<Output> &outbox) const
+void BasicRouter<Policy>::emitSample(const PendingRequest &pending, SampleResult result,
+                                     bool isAnswered, TimePoint now, Outbox<Output> &outbox) const
 {
+    const PendingRequest::Current &current = *pending.current;
+    const SentAttempt &sent = current.sentAttempt;
     outbox.emit(RequestSample { pending.serviceName, pending.route->name, pending.route->kind,
-                                sentAttempt.version, sentAttempt.domain, sentAttempt.instance,
-                                result, now - sentAttempt.sentAt, isAnswered,
-                                pending.isCrashSuspect });
+                                sent.version, sent.domain, sent.instance, result, now - sent.sentAt,
+                                isAnswered, pending.isCrashSuspect,
+                                current.isObserved ? current.forwardId : RequestId() });
+}
+
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::emitAbandoned(const PendingRequest &pending, Outbox<Output> &outbox) const
+{
+    if (pending.current->isObserved)
+        outbox.emit(AttemptAbandoned { pending.serviceName, pending.current->forwardId });
 }
 
 template <BalancingPolicy Policy>
@@ -643,8 +658,7 @@
     PendingRequest &pending = m_requests.at(requestId);
     const ServiceName service = pending.serviceName;
     if (pending.current) {
-        emitSample(pending, pending.current->sentAttempt, SampleResult::Timeout, false, now,
-                   outbox);
+        emitSample(pending, SampleResult::Timeout, false, now, outbox);
         cancelAttempt(pending, AttemptEnd::TimedOut, now, outbox);
         finish(requestId, OutcomeUnknown { UnknownReason::DeadlinePassed }, now, outbox);
     } else {
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -139,8 +139,9 @@
     return {
         {},
         [this](impl::PeerEvent &&event) { return onControlMessage(std::move(event)); },
-        [this](RequestSample &&sample) {
-            if (!m_moves.ring().tryPush(std::move(sample)))
+        [this](AttemptEvent &&event) {
+            auto *sample = std::get_if<RequestSample>(&event); // no rollouts here
+            if (sample != nullptr && !m_moves.ring().tryPush(std::move(*sample)))
                 m_samplesDropped.add();
         },
         [this](const EndpointsChanged &changed) {
--- a/tests/rolloutstest.cpp
+++ b/tests/rolloutstest.cpp
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <deque>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -19,11 +19,10 @@
 class RolloutsFixture
 {
 protected:
-    static constexpr std::size_t nodeCount = 4;
     static constexpr Duration ramp = seconds(12);
     static constexpr int requestsPerStep = 10; // every 20 ms, over all nodes: 500 per second
 
-    RolloutsFixture()
+    explicit RolloutsFixture(std::size_t count = 4) : nodeCount(count)
     {
         for (std::size_t i = 0; i < nodeCount; ++i) {
             Endpoint endpoint;
@@ -108,6 +107,7 @@
     {
         constexpr Duration step = milliseconds(20);
         for (const TimePoint end = now + time; now < end; now += step) {
+            endAttempts();
             for (int i = 0; i < requestsPerStep; ++i)
                 sendOne(injectFault);
             for (std::size_t i = 0; i < nodeCount; ++i) {
@@ -128,17 +128,37 @@
         sample.service = order.service;
         sample.route = RouteName(sent % 3 == 0 ? "bags" : "stock");
         sample.version = BackendVersion(isNew ? "v2" : "v1");
-        sample.latency = milliseconds(100);
+        sample.latency = usualLatency;
         sample.isAnswered = true;
+        sample.attempt = RequestId(sent);
         if (isNew) {
             ++sentToNew;
             injectFault(sample, random);
             badAnswers += sample.result == SampleResult::Success ? 0 : 1;
         }
-        dispatch(node, sample);
+        dispatch(
+            node,
+            AttemptStarted { sample.service, sample.route, sample.version, sample.attempt, now });
+        underWay.emplace(now + sample.latency, std::pair(node, sample));
     }
 
+    void endAttempts()
+    {
+        while (!underWay.empty() && underWay.begin()->first <= now) {
+            const auto [node, sample] = underWay.begin()->second;
+            underWay.erase(underWay.begin());
+            if (abandoned.contains(sample.attempt))
+                dispatch(node, AttemptAbandoned { sample.service, sample.attempt });
+            else
+                dispatch(node, sample);
+        }
+    }
+
+    const std::size_t nodeCount;
     RandomSource random { 1 };
+    Duration usualLatency = milliseconds(100); // of both versions, before a fault
+    std::multimap<TimePoint, std::pair<std::size_t, RequestSample>> underWay; // by time of the end
+    std::set<RequestId> abandoned; // attempts whose clients disconnect
     std::vector<Endpoint> endpoints;
     std::vector<std::unique_ptr<Rollouts>> nodes;
     RolloutOrder order;
@@ -152,6 +172,13 @@
     std::set<std::size_t> writers; // nodes that called the store
 };
 
+// Each node sees so few requests that only the leaders, with the counts of all, can tell.
+class LargeFleetRolloutsFixture : public RolloutsFixture
+{
+protected:
+    LargeFleetRolloutsFixture() : RolloutsFixture(50) { }
+};
+
 constexpr auto neverFails = [](RequestSample &, RandomSource &) {};
 constexpr auto failsHalf = [](RequestSample &sample, RandomSource &random) {
     if (uniformFraction(random) < 0.5)
@@ -208,6 +235,49 @@
     CHECK(order.state == RolloutState::RolledBack);
 }
 
+// Guards against slow attempts that are missing from the counts until they end: the share then
+// grows on the fast ones alone.
+TEST_CASE_METHOD(LargeFleetRolloutsFixture,
+                 "Rollouts_halfIsSlowUntilItsTimeout_isStoppedWithinExposure")
+{
+    usualLatency = milliseconds(800);
+    const auto slow = [](RequestSample &sample, RandomSource &source) {
+        if (uniformFraction(source) >= 0.54)
+            return;
+        sample.latency = seconds(4);
+        sample.result = SampleResult::Timeout;
+        sample.isAnswered = false;
+    };
+    run(ramp, slow);
+    CHECK(order.state == RolloutState::RolledBack);
+    CHECK(sentToNew < sent / 10);
+}
+
+// Guards against a good version that is too late, or taken for a slow one, because its service
+// needs seconds for a response.
+TEST_CASE_METHOD(LargeFleetRolloutsFixture,
+                 "Rollouts_goodVersionOfSlowService_isCompletedWithinItsRamp")
+{
+    usualLatency = milliseconds(800);
+    const auto tail = [](RequestSample &sample, RandomSource &source) {
+        if (uniformFraction(source) < 0.05)
+            sample.latency = seconds(4);
+    };
+    run(ramp, tail);
+    CHECK(order.state == RolloutState::Completed);
+}
+
+// Guards against clients that disconnect early, whose attempts would count as slow.
+TEST_CASE_METHOD(RolloutsFixture, "Rollouts_clientsDisconnect_attemptsAreNotCounted")
+{
+    const auto gone = [this](RequestSample &sample, RandomSource &source) {
+        if (uniformFraction(source) < 0.6)
+            abandoned.insert(sample.attempt);
+    };
+    run(ramp, gone);
+    CHECK(order.state == RolloutState::Completed);
+}
+
 // Guards against a verdict that depends on a single leader.
 TEST_CASE_METHOD(RolloutsFixture, "Rollouts_firstLeaderPartitioned_secondDecides")
 {
@@ -237,6 +307,18 @@
     CHECK(*nodes[2]->shareOf(order.service) > RolloutPolicy {}.trialShare);
 }
 
+// Guards against a node that has just started, considers itself a leader because it knows no other
+// member, and raises its share on its own few responses.
+TEST_CASE_METHOD(RolloutsFixture, "Rollouts_nodeKnowsNoOtherMember_keepsTheTrialShare")
+{
+    partitioned = 3;
+    auto table = std::make_shared<EndpointTable>();
+    table->services[ServiceName("orders")] = { endpoints[3] };
+    dispatch(3, EndpointsChanged { table });
+    run(ramp * 3 / 4, neverFails);
+    CHECK(nodes[3]->shareOf(order.service) == RolloutPolicy {}.trialShare);
+}
+
 // Guards against a verdict that is lost when the process restarts.
 TEST_CASE_METHOD(RolloutsFixture, "Rollouts_nodeRestartsAfterVerdict_bansVersionFromStore")
 {
--- a/tests/routerfixture.h
+++ b/tests/routerfixture.h
@@ -69,6 +69,14 @@
         deliver(MoveSharesChanged { move });
     }
 
+    // As while a rollout of the service is under way.
+    void observe()
+    {
+        auto move = std::make_shared<MoveShares>();
+        move->services[ServiceName("orders")].isObserved = true;
+        deliver(MoveSharesChanged { move });
+    }
+
     RequestId submit(const std::string &target, const std::string &key = "", Duration budget = {},
                      std::uint8_t depth = 0, std::uint8_t callerAttempt = 0)
     {
@@ -144,6 +152,8 @@
     std::vector<ForwardCancel> cancels;
     std::vector<ClientResponse> answers;
     std::vector<RequestSample> samples;
+    std::vector<AttemptStarted> started;
+    std::vector<AttemptAbandoned> abandoned;
     Router router { FailureDomain("arima"), 8, random };
 
 private:
@@ -153,6 +163,8 @@
             std::visit(Overloaded {
                            [this](ClientResponse &item) { answers.push_back(std::move(item)); },
                            [this](RequestSample &item) { samples.push_back(std::move(item)); },
+                           [this](AttemptStarted &item) { started.push_back(std::move(item)); },
+                           [this](AttemptAbandoned &item) { abandoned.push_back(item); },
                            [](RouterDecision &) {},
                            [this](PeerSend &send) { collect(send); },
                        },
--- a/tests/routertest.cpp
+++ b/tests/routertest.cpp
@@ -205,6 +205,33 @@
     CHECK(router.inFlight() == 0);
 }
 
+// Guards against attempts of a rollout whose start or end its evidence misses.
+TEST_CASE_METHOD(RouterFixture, "Router_rolloutUnderWay_reportsStartAndEndOfAttempts")
+{
+    applyConfiguration();
+    setEndpoints({ endpoint(1) });
+    submit("/stock");
+    CHECK(started.empty());
+    observe();
+    submit("/stock");
+    const RequestId disconnected = submit("/stock");
+    submit("/bags");
+    REQUIRE(started.size() == 3);
+    CHECK(started[0].attempt == sent.at(1).request.id);
+    CHECK(started[0].version == BackendVersion("v1"));
+    CHECK(started[0].sentAt == clock.now());
+    answer(sent[0], Answered {});
+    answer(sent[1], Answered {});
+    REQUIRE(samples.size() == 2);
+    CHECK(samples[0].attempt == RequestId());
+    CHECK(samples[1].attempt == started[0].attempt);
+    deliver(ClientDisconnected { disconnected });
+    answer(sent[3], NotRun { NotRunReason::Draining });
+    REQUIRE(abandoned.size() == 2);
+    CHECK(abandoned[0].attempt == started[1].attempt);
+    CHECK(abandoned[1].attempt == started[2].attempt);
+}
+
 TEST_CASE_METHOD(RouterFixture, "Router_deadlineDuringAttempt_cancelsAndIsUnknown")
 {
     applyConfiguration();
--- a/tests/scenario/simnode.h
+++ b/tests/scenario/simnode.h
@@ -79,6 +79,8 @@
     void dispatch(SnapshotChanged &&changed);
     void dispatch(EndpointsChanged &&changed);
     void dispatch(RequestSample &&sample);
+    void dispatch(const AttemptStarted &) { }
+    void dispatch(const AttemptAbandoned &) { }
     void dispatch(MoveSharesChanged &&changed);
     void dispatch(JoinPeers &&join);
     void dispatch(GateDrained &&) { }
