Reach listed nodes beyond the first 64 when a node starts

Cause: of the nodes that the store lists, a node kept the first 64 by name, the same ones at each listing. The records of machines that were replaced stay, so once 64 of them come first, a node that starts greets only addresses that are gone; after all were killed together, each knew only itself.

Change: JoinCandidates keeps up to 4096 addresses of a list, chosen at random when it is longer, and hands them out 64 at a time in random order: the first list to its end, and each list while no other node is known; of later ones only 64. Addresses of known members are left out. No list is read while addresses are left, and a node that knows no other lists again every 3 s instead of every 20 s.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -9,6 +9,7 @@
 #include <camphorreach/evacuation.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/finding.h>
+#include <camphorreach/joincandidates.h>
 #include <camphorreach/membership.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/random.h>
@@ -147,7 +148,8 @@
     void restartList(Informer &informer);
     void onLastPage(Informer &informer, ObjectVersion resourceVersion, std::size_t changes,
                     bool isNewer, TimePoint now);
-    void onNodesListed(Informer &informer, TimePoint now, Outbox<Output> &outbox);
+    void onNodesListed(Informer &informer, TimePoint now);
+    void joinListedNodes(TimePoint now, Outbox<Output> &outbox);
     void onFailure(Informer &informer, const StoreResult &result, TimePoint now);
     void onMessage(PeerReceived<CatalogMessage> &received, TimePoint now, Outbox<Output> &outbox);
     void onDigest(const NetAddress &from, const CatalogDigest &theirs, TimePoint now,
@@ -210,7 +212,7 @@
     std::optional<StoreEntries> m_listedEvacuations;
     bool m_areEvacuationsKnown = false; // from the store or from a peer; never reset
     bool m_isSnapshotHeld = false; // until they are known, or snapshotReleaseTime()
-    std::vector<NetAddress> m_listedNodes; // of the list being read; bounded
+    JoinCandidates m_joinCandidates;
     unsigned m_earlyNodeLists = 4; // lists left to read at the early interval
     std::optional<StoreCallId> m_registrationCall; // pending
     // Empty while the call is pending and once the record is stored.
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -35,7 +35,9 @@
 constexpr Duration nodeListInterval = std::chrono::seconds(20);
 // Nodes that start together register within a second or two of each other.
 constexpr Duration earlyNodeListInterval = std::chrono::milliseconds(700);
-constexpr std::size_t maxListedNodes = 64; // more do not improve the chance of joining
+// While this node knows no other. All nodes may be in this state, after they were killed together,
+// and the reads of hundreds must stay within the rate of the store.
+constexpr Duration lonelyNodeListInterval = std::chrono::seconds(3);
 constexpr Duration initialBackoff = std::chrono::milliseconds(150);
 constexpr Duration maxBackoff = std::chrono::milliseconds(1200);
 constexpr std::uint32_t maxBackoffDoublings = 3;
@@ -44,7 +46,8 @@
 
 Catalog::Catalog(Endpoint self, Options options, RandomSource &random)
     : m_self(std::move(self)), m_options(options), m_random(random), m_spread(m_self, random),
-      m_proof(options.revocation, random), m_keySeed(random())
+      m_joinCandidates(m_self.peer, random), m_proof(options.revocation, random),
+      m_keySeed(random())
 { }
 
 void Catalog::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -53,7 +56,10 @@
         Overloaded {
             [&](StoreReply &reply) { onReply(reply, now, outbox); },
             [&](PeerReceived<CatalogMessage> &received) { onMessage(received, now, outbox); },
-            [&](EndpointsChanged &changed) { m_spread.update(*changed.table); },
+            [&](EndpointsChanged &changed) {
+                m_spread.update(*changed.table);
+                m_joinCandidates.update(*changed.table);
+            },
             [&](DeparturesChanged &changed) { onDepartures(changed, now); },
         },
         input);
@@ -249,8 +255,7 @@
         } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
             haveOrdersChanged = apply(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
-            if (node->peer != m_self.peer && m_listedNodes.size() < maxListedNodes)
-                m_listedNodes.push_back(node->peer);
+            m_joinCandidates.add(node->peer);
         }
     }
     informer.nextCall = now;
@@ -266,7 +271,7 @@
     if (!hasMore && informer.kind == StoreKind::Configuration && isEveryConfigAccepted)
         recordProof(call, entries.resourceVersion, newestVersion, now);
     if (!hasMore && informer.kind == StoreKind::Nodes)
-        onNodesListed(informer, now, outbox);
+        onNodesListed(informer, now);
     else if (!hasMore)
         onLastPage(informer, entries.resourceVersion, configs, isNewer, now);
     const bool haveEvacuationsChanged = informer.kind == StoreKind::Evacuations
@@ -356,14 +361,20 @@
         informer.nextCall.reset();
 }
 
-void Catalog::onNodesListed(Informer &informer, TimePoint now, Outbox<Output> &outbox)
+void Catalog::onNodesListed(Informer &informer, TimePoint now)
 {
-    const bool isAlone = m_listedNodes.empty();
-    if (!isAlone)
-        outbox.emit(JoinPeers { std::exchange(m_listedNodes, {}) });
-    if (!isAlone && m_earlyNodeLists > 0)
+    const bool hasNodes = m_joinCandidates.finishList(now);
+    if (hasNodes && m_earlyNodeLists > 0)
         --m_earlyNodeLists;
-    informer.nextCall = now + (m_earlyNodeLists > 0 ? earlyNodeListInterval : nodeListInterval);
+    const Duration laterInterval
+        = m_joinCandidates.knowsOthers() ? nodeListInterval : lonelyNodeListInterval;
+    informer.nextCall = now + (m_earlyNodeLists > 0 ? earlyNodeListInterval : laterInterval);
+}
+
+void Catalog::joinListedNodes(TimePoint now, Outbox<Output> &outbox)
+{
+    if (std::vector<NetAddress> peers = m_joinCandidates.takeDue(now); !peers.empty())
+        outbox.emit(JoinPeers { std::move(peers) });
 }
 
 // A failed watch is not repeated: its reply would hold every version since then in full, and would
@@ -400,7 +411,7 @@
     informer.resourceVersion.reset();
     informer.cursor.clear();
     if (informer.kind == StoreKind::Nodes)
-        m_listedNodes.clear();
+        m_joinCandidates.restartList();
     else if (informer.kind == StoreKind::Evacuations)
         m_listedEvacuations.reset();
 }
@@ -456,6 +467,7 @@
     }
     if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration)
         writeRecord(outbox);
+    joinListedNodes(now, outbox);
     releaseSnapshot(now, outbox);
     advanceSpread(now, outbox);
     advanceProof(now, outbox);
@@ -486,6 +498,9 @@
 
 bool Catalog::isDue(const Informer &informer, TimePoint now) const
 {
+    // The next list of nodes would replace the addresses that are still to be tried.
+    if (informer.kind == StoreKind::Nodes && m_joinCandidates.nextDeadline())
+        return false;
     return !informer.pendingCall && informer.overdueCalls.size() < maxOverdueCalls
         && informer.nextCall && now >= *informer.nextCall;
 }
@@ -588,6 +603,8 @@
             continue;
         if (informer->pendingCall)
             next = std::min(next, informer->pendingCall->overdueAt);
+        else if (informer->kind == StoreKind::Nodes && m_joinCandidates.nextDeadline())
+            next = std::min(next, *m_joinCandidates.nextDeadline());
         else if (informer->nextCall && informer->overdueCalls.size() < maxOverdueCalls)
             next = std::min(next, *informer->nextCall);
     }
