Ask other gates for their quarantines when a gate starts

Cause: a gate that started knew no quarantines, and the others repeated theirs to one random gate every 10 s. While nodes were restarted, a request that crashes backend servers ran again at each of them.

Change: a gate that starts, or whose service changes, asks three random gates of the service, others 150 ms later, and every 10 s from the fourth time on, until one has answered. It dispatches nothing before that, for 500 ms at most; requests wait in the queue. The answer has all quarantined and suspect entries, in notices that fit into datagrams, the last one marked. A gate that awaits an answer itself gives none.

--- a/include/camphorreach/crashcontainment.h
+++ b/include/camphorreach/crashcontainment.h
@@ -62,6 +62,8 @@
     std::vector<QuarantineEntry> merge(const QuarantineNotice &notice, TimePoint now);
     /// The quarantined entries to send to other gates, at most maxQuarantineEntries.
     [[nodiscard]] std::vector<QuarantineEntry> entries(TimePoint now) const;
+    /// All quarantined and suspect entries, for a gate that has just started.
+    [[nodiscard]] std::vector<QuarantineEntry> allEntries(TimePoint now) const;
 
     /// True while the recent crashes point to a faulty version. No cause is confirmed meanwhile.
     [[nodiscard]] bool isVersionSuspect(TimePoint now) const;
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -71,6 +71,9 @@
         /// Learns the costs of requests, and reports with its load when a request would start and
         /// how long it would run.
         bool estimatesCost = false;
+        /// Asks other gates for their quarantines when it starts, and dispatches nothing until one
+        /// has answered, for up to half a second.
+        bool asksForQuarantines = false;
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -137,7 +140,7 @@
     [[nodiscard]] NotRun overloaded(Duration wait);
     [[nodiscard]] Duration expectedWait(const GateWork &work, TimePoint now) const;
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
-    void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
+    void onNotice(const QuarantineNotice &notice, TimePoint now, Outbox<Output> &outbox);
 
     void onCallLost(const Call &call, bool wasIsolated, TimePoint now, Outbox<Output> &outbox);
     void detectCrash(TimePoint now, Outbox<Output> &outbox);
--- a/include/camphorreach/quarantinemessage.h
+++ b/include/camphorreach/quarantinemessage.h
@@ -29,11 +29,20 @@
 {
     ServiceName service;
     std::vector<QuarantineEntry> entries; ///< At most maxQuarantineEntries.
+    bool isAnswer = false; ///< The last notice of those that answer a request.
 
     friend bool operator==(const QuarantineNotice &, const QuarantineNotice &) = default;
 };
 
+/// Asks a gate of the service for all suspect and quarantined requests that it knows.
+struct QuarantineRequest
+{
+    ServiceName service;
+
+    friend bool operator==(const QuarantineRequest &, const QuarantineRequest &) = default;
+};
+
 /// The messages about quarantines in the protocol between nodes.
-using QuarantineMessage = std::variant<QuarantineNotice>;
+using QuarantineMessage = std::variant<QuarantineNotice, QuarantineRequest>;
 
 } // namespace camphorreach
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -83,7 +83,13 @@
 template <typename Archive>
 void serialize(Archive &archive, QuarantineNotice &notice)
 {
-    archive(notice.service, notice.entries);
+    archive(notice.service, notice.entries, notice.isAnswer);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuarantineRequest &request)
+{
+    archive(request.service);
 }
 
 template <typename Archive>
--- a/src/filters/requests/crashcontainment.cpp
+++ b/src/filters/requests/crashcontainment.cpp
@@ -127,6 +127,21 @@
     return result;
 }
 
+std::vector<QuarantineEntry> CrashContainment::allEntries(TimePoint now) const
+{
+    std::vector<QuarantineEntry> result;
+    const auto append = [&](const Table &table, bool areConfirmed) {
+        for (const auto &[fingerprint, entry] : table) {
+            const std::uint32_t crashes = entry.crashes - entry.clearedCrashes;
+            if (crashes > 0 && entry.expires - now >= minRemaining)
+                result.push_back({ fingerprint, entry.expires - now, areConfirmed, crashes });
+        }
+    };
+    append(m_quarantined, true);
+    append(m_suspects, false);
+    return result;
+}
+
 // Adds or updates an entry. A full table evicts the entry with the earliest expiry.
 bool CrashContainment::insert(Table &table, std::size_t limit, Digest fingerprint, Entry entry)
 {
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -66,15 +66,16 @@
 Gate::Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random)
     : m_limits(limits), m_slots(limits.slots), m_service(service),
       m_isAccepting(!limits.needsAnnouncement),
-      m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
-      m_lateQueue(limits.queue), m_suspectQueue(suspectQueueLimits(limits.queue)),
-      m_results(limits.results), m_containment(limits.crashes),
-      m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
+      m_spread(std::move(service), std::move(self), limits.asksForQuarantines, random),
+      m_queue(limits.queue), m_lateQueue(limits.queue),
+      m_suspectQueue(suspectQueueLimits(limits.queue)), m_results(limits.results),
+      m_containment(limits.crashes), m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
 { }
 
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
+    m_spread.setTime(now);
     m_coldStart.update(now);
     m_remainingWork.setTime(now);
     std::visit(
@@ -85,9 +86,17 @@
             [&](BackendResult &result) { onResult(std::move(result), now, outbox); },
             [&](BackendReachable &reachable) { onReachable(reachable.isReachable, now, outbox); },
             [&](PeerReceived<QuarantineMessage> &received) {
-                onNotice(received.message, now, outbox);
+                if (const auto *notice = std::get_if<QuarantineNotice>(&received.message))
+                    return onNotice(*notice, now, outbox);
+                emitAll(m_spread.answer(received.from,
+                                        std::get<QuarantineRequest>(received.message),
+                                        m_containment.allEntries(now)),
+                        outbox);
+            },
+            [&](EndpointsChanged &changed) {
+                m_spread.setPeers(changed);
+                emitAll(m_spread.ask(now), outbox);
             },
-            [&](EndpointsChanged &changed) { m_spread.setPeers(changed); },
             [&](BackendAnnounced &announced) { onAnnounced(std::move(announced), now, outbox); },
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
             [&](EgressBacklogChanged &changed) { m_egress.onBacklog(changed, now); },
@@ -284,7 +293,7 @@
         detectCrash(now, outbox);
         m_processEndedAt.reset(); // calls lost from now on ran in the new process
     }
-    m_spread.setService(m_service);
+    m_spread.setService(m_service, now);
     updateWarmUpPolicy(now);
     m_coldStart.onAnnounced(announced.warmUpLeft, now);
     reviewQueues(now, outbox);
@@ -496,9 +505,8 @@
         NotRunReason::Quarantined, now, outbox);
 }
 
-void Gate::onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox)
+void Gate::onNotice(const QuarantineNotice &notice, TimePoint now, Outbox<Output> &outbox)
 {
-    const auto &notice = std::get<QuarantineNotice>(message);
     if (notice.service != m_service)
         return;
     const std::vector<QuarantineEntry> newEntries = m_containment.merge(notice, now);
@@ -506,7 +514,11 @@
         if (entry.isConfirmed)
             refuseQuarantined(entry.fingerprint, now, outbox);
     }
-    emitAll(m_spread.relay(newEntries, now), outbox);
+    // The gate that answers has spread its entries already.
+    if (notice.isAnswer)
+        m_spread.onAnswer(newEntries, now);
+    else
+        emitAll(m_spread.relay(newEntries, now), outbox);
 }
 
 void Gate::emitAll(std::vector<PeerSend> &&notices, Outbox<Output> &outbox)
@@ -517,7 +529,7 @@
 
 void Gate::fillSlots(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_isReachable || !m_isAccepting || m_isEvacuated || m_isolatedCall
+    if (!m_isReachable || !m_isAccepting || m_isEvacuated || m_isolatedCall || m_spread.awaitEnd()
         || !m_coldStart.mayStart(now) || scheduleIsolated(now, outbox))
         return;
     while (m_running.size() < m_slots && m_coldStart.mayStart(now)) {
@@ -631,6 +643,7 @@
 void Gate::advance(TimePoint now, Outbox<Output> &outbox)
 {
     m_results.start(now);
+    m_spread.setTime(now);
     m_coldStart.update(now);
     m_results.expire(now);
     m_remainingWork.setTime(now);
@@ -638,6 +651,7 @@
               NotRunReason::DeadlinePassed, now, outbox);
     if (const auto repair = m_spread.nextRepair(); repair && *repair <= now)
         emitAll(m_spread.repair(m_containment.entries(now), now), outbox);
+    emitAll(m_spread.ask(now), outbox);
     fillSlots(now, outbox);
     reportIfDrained(outbox);
 }
@@ -654,6 +668,8 @@
     consider(m_suspectQueue.earliestDeadline());
     consider(m_results.nextExpiry());
     consider(m_spread.nextRepair());
+    consider(m_spread.nextAsk());
+    consider(m_spread.awaitEnd());
     const TimePoint coldStart = m_coldStart.isLimiting() ? m_coldStart.nextStart() : TimePoint {};
     if (!m_suspectQueue.isEmpty() && !m_isolatedCall)
         consider(std::max(m_holdSince ? *m_holdSince + maxHold : m_nextIsolation, coldStart));
--- a/src/pipelines/node.cpp
+++ b/src/pipelines/node.cpp
@@ -48,6 +48,7 @@
 {
     Gate::Limits limits;
     limits.slots = settings.backendServer.slots;
+    limits.asksForQuarantines = true;
     return limits;
 }
 
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -37,12 +37,14 @@
     fresh.organisation = OrganisationName("ice-depot");
     const QuarantineNotice notice { ServiceName("orders"),
                                     { { Digest(1), std::chrono::minutes(10), true },
-                                      { Digest(2), std::chrono::minutes(5), false } } };
+                                      { Digest(2), std::chrono::minutes(5), false } },
+                                    true };
     const std::vector<PeerMessage> messages {
         RequestMessage(fresh),
         RequestMessage(ForwardResponse {
             RequestId(1), NotRun {}, { 1, 2, 3, Duration(4), Duration(5) }, true }),
         QuarantineMessage(notice),
+        QuarantineMessage(QuarantineRequest { ServiceName("orders") }),
         LinkMessage(LinkClosing {}),
         CatalogMessage(CatalogProofRequest { 5 }),
         CatalogMessage(CatalogProofReply { 5, ConfigVersion(3), std::chrono::seconds(1) }),
