--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -83,7 +83,13 @@
 template <typename Archive>
 void serialize(Archive &archive, QuarantineNotice &notice)
 {
-    archive(notice.service, notice.entries);
+    archive(notice.service, notice.entries, notice.isAnswer);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuarantineRequest &request)
+{
+    archive(request.service);
 }
 
 template <typename Archive>
@@ -211,7 +217,7 @@
 template <typename Archive>
 void serialize(Archive &archive, RolloutCounts &counts)
 {
-    archive(counts.requests, counts.failures, counts.slow);
+    archive(counts.requests, counts.failures, counts.settled, counts.slow);
 }
 
 template <typename Archive>
