Test the promises about keys and quotas with real processes

Change: tests with one to three sidecar processes on loopback. A key is withdrawn while the process is stopped by SIGSTOP, while the store is silent for the only node, and while it is silent for one of two; the owner of a quota is killed and restarted under load. The fake store has organisations, a door for each node that can fall silent, and watches of the configuration that end after 100 ms. Whether a request came too late is judged by the clock of the test before it is sent; a request counts for a window of a quota only if it was sent and answered inside it, so a slow machine cannot make a check fail.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -12,40 +12,107 @@
 
 namespace {
 
-constexpr const char *configItem = R"({"metadata":{"name":"main","revision":4},
-    "spec":{"version":7,"routes":{"columns":["name","host","path_prefix","route_kind",
-    "timeout_ms","target_latency_ms","priority","service","max_attempts","traffic_split"],
-    "rows":[["r-1","a.example","/bags/","non_idempotent",1000,500,1,"orders",2,null],
-    ["r-2","a.example","/hats/","idempotent",1000,500,1,"orders",2,null],
-    ["r-3","a.example","/ledgers/","download",30000,20000,1,"orders",2,null]]},
+constexpr const char *routesAndServices = R"("routes":{"columns":["name","host","path_prefix",
+    "route_kind","timeout_ms","target_latency_ms","priority","service","max_attempts",
+    "traffic_split","auth_exempt"],
+    "rows":[["r-1","a.example","/bags/","non_idempotent",1000,500,1,"orders",2,null,false],
+    ["r-2","a.example","/hats/","idempotent",1000,500,1,"orders",2,null,false],
+    ["r-3","a.example","/ledgers/","download",30000,20000,1,"orders",2,null,false],
+    ["r-4","a.example","/open/","non_idempotent",1000,500,1,"orders",2,null,true]]},
     "services":{"columns":["name","health_path","max_connections","protocol","tls"],
     "rows":[["orders","/health",110,"h1",false]]},
     "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,
-    "idle_timeout_ms":15000}},"status":null})";
+    "idle_timeout_ms":15000})";
+// A watch of the configuration ends after this time.
+constexpr Duration watchTime = std::chrono::milliseconds(100);
+// The revision of the store when it holds a version of the configuration.
+constexpr std::uint64_t revisionOf(std::uint64_t configVersion)
+{
+    return configVersion - 2;
+}
+
+bool isWatch(const HttpRequest &request)
+{
+    return request.target.find("watch=") != std::string::npos;
+}
 
 } // namespace
 
-FakeStore::FakeStore()
-    : m_server([this](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
-          if (auto response = respond(request))
-              server.respond(id, *std::move(response));
-      })
-{ }
+FakeStore::FakeStore(std::size_t doors) : m_isSilent(doors)
+{
+    for (std::size_t i = 0; i < doors; ++i) {
+        m_doors.push_back(std::make_unique<LoopbackServer>(
+            [this, i](LoopbackServer &server, impl::ExchangeId id, HttpRequest &&request) {
+                onRequest(i, server, id, request);
+            }));
+    }
+}
+
+void FakeStore::setOrganisations(const std::string &rows)
+{
+    const std::lock_guard lock(m_mutex);
+    m_organisations = rows;
+    ++m_configVersion;
+}
+
+void FakeStore::setSilent(std::size_t door, bool isSilent)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSilent[door] = isSilent;
+}
+
+void FakeStore::onRequest(std::size_t door, LoopbackServer &server, impl::ExchangeId exchange,
+                          const HttpRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isSilent[door])
+        return;
+    if (isWatch(request) && request.target.find("/config") != std::string::npos)
+        return server.respondLater(exchange, configEvents(request), watchTime);
+    if (auto response = respond(request))
+        server.respond(exchange, *std::move(response));
+}
+
+std::string FakeStore::configItem() const
+{
+    return R"({"metadata":{"name":"main","revision":)" + std::to_string(revisionOf(m_configVersion))
+        + R"(},"spec":{"version":)" + std::to_string(m_configVersion) + "," + routesAndServices
+        + (m_organisations.empty()
+               ? ""
+               : R"(,"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],)"
+                   + (R"("rows":[)" + m_organisations + "]}"))
+        + R"(},"status":null})";
+}
+
+HttpResponse FakeStore::configEvents(const HttpRequest &request) const
+{
+    const std::string sinceText = request.target.substr(request.target.find("watch=") + 6);
+    const std::uint64_t revision = revisionOf(m_configVersion);
+    const bool isNew = std::stoull(sinceText) < revision;
+    return { 200,
+             {},
+             R"({"events":[)"
+                 + (isNew ? R"({"object":)" + configItem() + R"(,"removed":false})" : "")
+                 + R"(],"at_rev":)" + std::to_string(revision) + "}" };
+}
 
 std::optional<HttpResponse> FakeStore::respond(const HttpRequest &request)
 {
-    if (request.target.find("watch=") != std::string::npos)
+    if (isWatch(request))
         return std::nullopt; // nothing changes
     if (request.method == "POST" || request.method == "PUT")
         return write(request);
     std::string items;
     if (request.target.find("/config") != std::string::npos) {
-        items = configItem;
+        items = configItem();
     } else if (request.target.find("nodes") != std::string::npos) {
         for (const auto &[name, node] : m_nodes)
             items += (items.empty() ? "" : ",") + boost::json::serialize(node);
     }
-    return HttpResponse { 200, {}, R"({"items":[)" + items + R"(],"has_more":false,"at_rev":5})" };
+    return HttpResponse { 200,
+                          {},
+                          R"({"items":[)" + items + R"(],"has_more":false,"at_rev":)"
+                              + std::to_string(revisionOf(m_configVersion)) + "}" };
 }
 
 // Creates, or replaces on condition of the revision, the record of a node.
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -8,29 +8,49 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorreach {
 
 /// Serves two routes to "orders", "a.example/bags/" for non-idempotent requests and
-/// "a.example/hats/" for idempotent ones, and stores the records of nodes. Watches never return.
+/// "a.example/hats/" for idempotent ones, and stores the records of nodes. Keys are not needed for
+/// "a.example/open/". Watches of the configuration end early, and others never return.
 class FakeStore
 {
 public:
-    FakeStore();
+    /// The store is reached by \a doors addresses.
+    explicit FakeStore(std::size_t doors = 1);
 
-    [[nodiscard]] NetAddress address() const { return m_server.address(); }
+    [[nodiscard]] NetAddress address(std::size_t door = 0) const
+    {
+        return m_doors[door]->address();
+    }
+    /// A new version of the configuration, with \a rows of name, keys, priority, rate and burst.
+    /// It is in force when the function returns.
+    void setOrganisations(const std::string &rows);
+    /// A silent door receives calls and never responds.
+    void setSilent(std::size_t door, bool isSilent);
 
 private:
+    void onRequest(std::size_t door, LoopbackServer &server, impl::ExchangeId exchange,
+                   const impl::HttpRequest &request);
     [[nodiscard]] std::optional<impl::HttpResponse> respond(const impl::HttpRequest &request);
-
+    [[nodiscard]] impl::HttpResponse configEvents(const impl::HttpRequest &request) const;
+    [[nodiscard]] std::string configItem() const;
     [[nodiscard]] impl::HttpResponse write(const impl::HttpRequest &request);
 
-    // Node records by name, with the revision of the latest; both used by the server's thread.
+    std::mutex m_mutex; // guards all below except m_doors
+    // Node records by name, with the revision of the latest.
     std::map<std::string, boost::json::object> m_nodes;
     std::uint64_t m_revision = 2;
-    LoopbackServer m_server;
+    std::string m_organisations;
+    std::uint64_t m_configVersion = 7;
+    std::vector<bool> m_isSilent;
+    std::vector<std::unique_ptr<LoopbackServer>> m_doors; // stopped before the rest is destroyed
 };
 
 /// Sends one request on a separate connection and waits for the response. The status is 0 when
--- a/tests/sidecarprocess.cpp
+++ b/tests/sidecarprocess.cpp
@@ -15,6 +15,15 @@
 namespace camphorreach {
 namespace {
 
+std::string organisationsText(const OrganisationSettings &organisations)
+{
+    if (!organisations.revocation)
+        return {};
+    const auto time
+        = std::chrono::duration_cast<std::chrono::milliseconds>(*organisations.revocation);
+    return "[organisations]\nrevocation-ms = " + std::to_string(time.count()) + "\n";
+}
+
 std::string textOf(const SidecarSettings &settings)
 {
     return "[instance]\nname = \"" + settings.instance.value() + "\"\nfailure-domain = \""
@@ -25,7 +34,8 @@
         + "\"\n[backend-server]\naddress = \"" + toText(settings.backendServer.address)
         + "\"\nservice = \"" + settings.backendServer.service.value()
         + "\"\n[platform]\naddress = \"" + toText(settings.platform)
-        + "\"\n[peers]\nseeds = []\n[log]\nlevel = \"info\"\n";
+        + "\"\n[peers]\nseeds = []\n[log]\nlevel = \"info\"\n"
+        + organisationsText(settings.organisations);
 }
 
 std::filesystem::path write(const std::filesystem::path &file, const std::string &text)
