Leave the body out of responses to HEAD and of those with status 204 or 304

Cause: the server wrote the text of a response whatever the method of its request was. A client that had sent HEAD took the text for the beginning of its next response. Text in a 204 or 304 made prepare_payload throw. And the response to HEAD of a backend server was passed on with a length of zero.

The session keeps for each exchange whether its request was HEAD, also for refusals of its own.

--- a/include/camphorreach/impl/http.h
+++ b/include/camphorreach/impl/http.h
@@ -1,4 +1,4 @@
-// HTTP messages as plain structs, so that only httpclient.cpp and httpserver.cpp depend on the HTTP
+// HTTP messages as plain structs, so that only the HTTP client and server depend on the HTTP
 // library.
 #pragma once
 
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -3,6 +3,7 @@
 
 #include <camphorreach/clientmemory.h>
 #include <camphorreach/clock.h>
+#include <camphorreach/impl/httpencoding.h>
 #include <camphorreach/log.h>
 #include <camphorreach/metrics.h>
 #include <camphorreach/responseorder.h>
@@ -61,6 +62,21 @@
 constexpr auto acceptRetryInterval = std::chrono::milliseconds(100);
 constexpr auto logInterval = std::chrono::seconds(10);
 
+// A request that has been reported and has no response yet.
+template <typename Session>
+struct PendingExchange
+{
+    std::shared_ptr<Session> session;
+    bool isHead = false;
+};
+
+// A response that waits for those to earlier requests.
+struct WaitingResponse
+{
+    HttpResponse response;
+    bool isToHead = false;
+};
+
 // Like http::string_body, but memory grows with the body that arrives instead of being allocated
 // for the size that the client announces.
 struct GrowingBody
@@ -192,7 +208,7 @@
     asio::steady_timer m_retryTimer; // while m_waiting is not empty
     HttpLimits m_limits;
     Handlers m_handlers;
-    std::map<ExchangeId, std::shared_ptr<Session>> m_pending; // requests without a response yet
+    std::map<ExchangeId, PendingExchange<Session>> m_pending;
     std::map<ClientId, std::weak_ptr<Session>> m_sessions;
     ClientMemory m_memory; // has an entry for each session
     std::vector<std::weak_ptr<Session>> m_waiting; // sessions that wait for memory
@@ -267,10 +283,10 @@
                  "not run: clients hold the memory that the process may use for them\n" });
     }
 
-    void respond(ExchangeId exchange, HttpResponse response)
+    void respond(ExchangeId exchange, WaitingResponse waiting)
     {
-        const ByteCount size(response.body.size());
-        if (m_order.complete(exchange, std::move(response), size))
+        const ByteCount size(waiting.response.body.size());
+        if (m_order.complete(exchange, std::move(waiting), size))
             writeNext();
         reportMemory(0);
     }
@@ -507,6 +523,12 @@
         return true;
     }
 
+    // Whether the method of the request that is being read is HEAD.
+    [[nodiscard]] bool isHeadRequest() const
+    {
+        return m_parser && m_parser->get().method() == http::verb::head;
+    }
+
     // Size of the complete request.
     [[nodiscard]] std::uint64_t requestBytes() const
     {
@@ -534,6 +556,7 @@
     void onRequest()
     {
         const ByteCount size(requestBytes());
+        const bool isHead = isHeadRequest();
         auto message = m_parser->release();
         m_parser.reset();
         m_fieldBytes = 0;
@@ -550,7 +573,8 @@
         const ExchangeId exchange = m_server->m_nextExchange++;
         m_order.admit(exchange, size);
         updateBytesUnderWay();
-        m_server->m_pending.emplace(exchange, shared_from_this());
+        m_server->m_pending.emplace(exchange,
+                                    PendingExchange<Session> { shared_from_this(), isHead });
         m_server->m_handlers.onRequest(exchange, std::move(request));
     }
 
@@ -572,10 +596,11 @@
     // reading.
     void refuse(HttpResponse response)
     {
+        const bool isToHead = isHeadRequest();
         endReading();
         const ExchangeId exchange = m_server->m_nextExchange++;
         m_order.admit(exchange, ByteCount());
-        respond(exchange, std::move(response));
+        respond(exchange, { std::move(response), isToHead });
     }
 
     // No further request is read, and the response to the last one closes the connection.
@@ -594,19 +619,15 @@
     {
         if (m_response)
             return;
-        std::optional<HttpResponse> next = m_order.takeNext();
+        std::optional<WaitingResponse> next = m_order.takeNext();
         updateBytesUnderWay();
         if (!next)
             return;
         const bool isLast = m_order.isEmpty() && (m_isReadEnded || m_server->m_isDraining);
         if (isLast)
             endReading();
-        m_response.emplace(static_cast<http::status>(next->status), 11);
-        for (HttpHeader &header : next->headers)
-            m_response->insert(header.name, header.value);
-        m_response->keep_alive(!isLast);
-        m_response->body() = std::move(next->body);
-        m_response->prepare_payload();
+        m_response.emplace(
+            encode(std::move(next->response), { .isToHead = next->isToHead, .isLast = isLast }));
         m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response,
                           [self = shared_from_this()](ErrorCodeType error, std::size_t) {
@@ -729,8 +750,8 @@
     std::size_t m_receivedInWindow = 0; // since the timer was started
     std::size_t m_discarded = 0; // bytes read after m_isReadEnded
     bool m_isAwaitingRoom = false; // no memory for m_unread or for the complete request
-    std::optional<http::response<http::string_body>> m_response; // while it is being written
-    ResponseOrder<ExchangeId, HttpResponse> m_order;
+    std::optional<EncodedResponse> m_response; // while it is being written
+    ResponseOrder<ExchangeId, WaitingResponse> m_order;
     std::uint64_t m_countedBytes = 0; // part of the server's m_bytesUnderWay
     bool m_isReading = false;
     bool m_isReadEnded = false; // what arrives now is discarded; never reset
@@ -842,9 +863,9 @@
     const auto found = m_pending.find(exchange);
     if (found == m_pending.end())
         return;
-    const auto session = found->second;
+    const auto [session, isHead] = std::move(found->second);
     m_pending.erase(found);
-    session->respond(exchange, std::move(response));
+    session->respond(exchange, { std::move(response), isHead });
 }
 
 void HttpServer::Impl::abort(ExchangeId exchange)
@@ -852,7 +873,7 @@
     const auto found = m_pending.find(exchange);
     if (found == m_pending.end())
         return;
-    const auto session = found->second;
+    const auto session = std::move(found->second.session);
     m_pending.erase(found);
     session->disconnect();
 }
