End only the request that HTTP/1.1 does not allow, not the process

Cause: prepare_payload throws for TRACE with a body, in the thread of the calls to the backend server, and nothing catches it. A response with a status below 200 was written as it was, and the client takes it for an interim one.

Change: encode() returns nothing for what it can't encode. The server answers 502 in place of such a response. RequestParser, on the library's basic_parser, stores the request itself, so the server refuses TRACE with a body (400) and too large fields (431) as it reads them, and counts fields as they come.

--- a/include/camphorreach/impl/httpclient.h
+++ b/include/camphorreach/impl/httpclient.h
@@ -23,6 +23,7 @@
 {
     enum class Kind : std::uint8_t {
         NotSent,
+        InvalidRequest, ///< HTTP/1.1 does not allow the request, so nothing was sent.
         ConnectionLost,
         PartialResponse,
         /// Malformed, of unknown length (see acceptsCloseDelimited), or not matched to the call.
@@ -35,6 +36,12 @@
 
     Kind kind = Kind::NotSent;
     std::string text;
+
+    /// Whether no byte of the request was written.
+    [[nodiscard]] bool isUnsent() const noexcept
+    {
+        return kind == Kind::NotSent || kind == Kind::InvalidRequest;
+    }
 };
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
--- a/include/camphorreach/impl/httpencoding.h
+++ b/include/camphorreach/impl/httpencoding.h
@@ -6,11 +6,16 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
 
 namespace camphorreach::impl {
 
+using EncodedRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using EncodedResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// The largest name or value of a header field that the library holds.
+constexpr std::size_t maxFieldBytes = 65533;
+
 /// What the framing of a response depends on beside the response itself.
 struct ResponsePlace
 {
@@ -18,9 +23,16 @@
     bool isLast = false; ///< The connection is closed after it.
 };
 
+/// Encodes a request, with \a host as its Host field when it has none. Returns nothing, and leaves
+/// \a request as it is, when HTTP/1.1 does not allow it or the library cannot hold it: TRACE with a
+/// body (RFC 9110, section 9.3.8), or a field above maxFieldBytes.
+[[nodiscard]] std::optional<EncodedRequest> encode(HttpRequest &request, std::string_view host);
+
 /// Encodes a final response. Those to HEAD and those with status 204 or 304 have no body, whatever
 /// \a response holds (RFC 9112, section 6.3): the client would take it for the beginning of the
-/// next response.
-[[nodiscard]] EncodedResponse encode(HttpResponse &&response, const ResponsePlace &place);
+/// next response. Returns nothing when the status is not that of a final response, or a field is
+/// above maxFieldBytes.
+[[nodiscard]] std::optional<EncodedResponse> encode(HttpResponse &&response,
+                                                    const ResponsePlace &place);
 
 } // namespace camphorreach::impl
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -187,6 +187,7 @@
 
 enum class BackendFailure : std::uint8_t {
     NotSent, ///< No byte of the request was written.
+    InvalidRequest, ///< HTTP/1.1 does not allow the request, so nothing was written.
     Refused, ///< A 503 response with `X-Not-Run: 1`, which states that it was not started.
     ConnectionLost, ///< The connection ended before the response began.
     PartialResponse, ///< The connection ended within the response.
--- a/src/bench/guests.cpp
+++ b/src/bench/guests.cpp
@@ -132,8 +132,7 @@
         if (outcome == "answered")
             return onResponse(*request, *response);
         const bool isNotRun = outcome == "not-run"
-            || (response == nullptr
-                && std::get<HttpFailure>(result).kind == HttpFailure::Kind::NotSent);
+            || (response == nullptr && std::get<HttpFailure>(result).isUnsent());
         request->mayHaveRun = request->mayHaveRun || !isNotRun;
         if (request->resends < maxResends) {
             resend(request);
--- a/src/endpoints/backendendpoint.cpp
+++ b/src/endpoints/backendendpoint.cpp
@@ -41,6 +41,8 @@
     switch (kind) {
     case HttpFailure::Kind::NotSent:
         return BackendFailure::NotSent;
+    case HttpFailure::Kind::InvalidRequest:
+        return BackendFailure::InvalidRequest;
     case HttpFailure::Kind::PartialResponse:
         return BackendFailure::PartialResponse;
     case HttpFailure::Kind::InvalidResponse:
--- a/src/endpoints/httpclient.cpp
+++ b/src/endpoints/httpclient.cpp
@@ -2,6 +2,7 @@
 #include <camphorreach/impl/httpclient.h>
 
 #include <camphorreach/clock.h>
+#include <camphorreach/impl/httpencoding.h>
 #include <camphorreach/impl/sockets.h>
 
 #include <algorithm>
@@ -219,17 +220,17 @@
         if (!client)
             return;
         Call &call = client->m_calls.at(m_handle);
+        auto encoded = encode(call.request, toText(m_server));
+        if (!encoded) {
+            // Posted, because the caller of send() must get its handle first.
+            asio::post(client->m_io, [self = shared_from_this(), handle = m_handle] {
+                if (self->m_handle == handle)
+                    self->refuse();
+            });
+            return;
+        }
         call.isWriteStarted = true;
-        m_request = {};
-        m_request.version(11);
-        m_request.method_string(call.request.method);
-        m_request.target(call.request.target);
-        if (call.request.header("Host").empty())
-            m_request.set(http::field::host, toText(m_server));
-        for (const HttpHeader &header : call.request.headers)
-            m_request.insert(header.name, header.value);
-        m_request.body() = std::move(call.request.body);
-        m_request.prepare_payload();
+        m_request = std::move(*encoded);
         http::async_write(
             m_stream, m_request,
             [self = shared_from_this(), handle = m_handle](ErrorCodeType error, std::size_t) {
@@ -242,6 +243,21 @@
             });
     }
 
+    // Ends a call that cannot be encoded. Nothing has been written, so the connection stays open.
+    void refuse()
+    {
+        const CallHandle handle = std::exchange(m_handle, 0);
+        const auto client = m_client.lock();
+        if (!client)
+            return;
+        if (m_server == client->m_server) {
+            client->m_idle.push_back(shared_from_this());
+            watchIdle();
+        }
+        client->fail(handle, HttpFailure::Kind::InvalidRequest,
+                     "HTTP/1.1 does not allow the request");
+    }
+
     void read()
     {
         m_parser.emplace();
@@ -362,7 +378,7 @@
     const NetAddress m_server; // that of the client when the connection was opened
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer { maxBufferBytes };
-    http::request<http::string_body> m_request;
+    EncodedRequest m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     CallHandle m_handle = 0; // zero while no call uses the connection
     unsigned m_unmatchedResponses = 0; // at most maxUnmatchedResponses
--- a/src/endpoints/httpencoding.cpp
+++ b/src/endpoints/httpencoding.cpp
@@ -1,6 +1,7 @@
 // Fields and framing of HTTP messages.
 #include <camphorreach/impl/httpencoding.h>
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
 #include <utility>
 
@@ -11,19 +12,51 @@
 namespace {
 
 constexpr unsigned httpVersion = 11;
+constexpr std::uint16_t firstFinalStatus = 200;
+constexpr std::uint16_t lastStatus = 999;
 
 bool isWithoutBody(http::status status)
 {
     return status == http::status::no_content || status == http::status::not_modified;
 }
 
+// Returns false when a field is too large.
+bool insertFields(http::fields &fields, const HeaderFields &headers)
+{
+    for (const HttpHeader &header : headers) {
+        if (std::max(header.name.size(), header.value.size()) > maxFieldBytes)
+            return false;
+        fields.insert(header.name, header.value);
+    }
+    return true;
+}
+
 } // namespace
 
-EncodedResponse encode(HttpResponse &&response, const ResponsePlace &place)
+std::optional<EncodedRequest> encode(HttpRequest &request, std::string_view host)
+{
+    EncodedRequest encoded;
+    encoded.version(httpVersion);
+    encoded.method_string(request.method);
+    if (encoded.method() == http::verb::trace && !request.body.empty())
+        return std::nullopt;
+    encoded.target(request.target);
+    if (request.header("Host").empty())
+        encoded.set(http::field::host, host);
+    if (!insertFields(encoded, request.headers))
+        return std::nullopt;
+    encoded.body() = std::move(request.body);
+    encoded.prepare_payload();
+    return encoded;
+}
+
+std::optional<EncodedResponse> encode(HttpResponse &&response, const ResponsePlace &place)
 {
+    if (response.status < firstFinalStatus || response.status > lastStatus)
+        return std::nullopt;
     EncodedResponse encoded(static_cast<http::status>(response.status), httpVersion);
-    for (const HttpHeader &header : response.headers)
-        encoded.insert(header.name, header.value);
+    if (!insertFields(encoded, response.headers))
+        return std::nullopt;
     encoded.keep_alive(!place.isLast);
     const std::size_t size = response.body.size();
     if (isWithoutBody(encoded.result()))
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -4,6 +4,7 @@
 #include <camphorreach/clientmemory.h>
 #include <camphorreach/clock.h>
 #include <camphorreach/impl/httpencoding.h>
+#include <camphorreach/impl/requestparser.h>
 #include <camphorreach/log.h>
 #include <camphorreach/metrics.h>
 #include <camphorreach/responseorder.h>
@@ -53,8 +54,6 @@
 constexpr std::size_t maxDiscardedBytes = 2 * maxBodyBytes;
 // Memory of an open connection without a request: the session, its first buffer and its timers.
 constexpr std::size_t connectionBytes = 8 * 1024;
-// Memory for a header field beside its text, as the parser and HttpRequest store it.
-constexpr std::size_t fieldBytes = 128;
 // A request under way exists as the message of the client and as its copy for retries and links.
 constexpr std::uint64_t copiesUnderWay = 2;
 // How often connections that wait for memory or for a descriptor are looked at.
@@ -77,37 +76,6 @@
     bool isToHead = false;
 };
 
-// Like http::string_body, but memory grows with the body that arrives instead of being allocated
-// for the size that the client announces.
-struct GrowingBody
-{
-    using value_type = std::string;
-
-    class reader // NOLINT(readability-identifier-naming): the name that Beast requires
-    {
-    public:
-        template <bool IsRequest, typename Fields>
-        reader(http::header<IsRequest, Fields> &, value_type &body) : m_body(body)
-        { }
-
-        void init(const boost::optional<std::uint64_t> &, ErrorCodeType &error) { error = {}; }
-
-        template <typename Buffers>
-        std::size_t put(const Buffers &buffers, ErrorCodeType &error)
-        {
-            error = {};
-            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
-                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
-            return beast::buffer_bytes(buffers);
-        }
-
-        void finish(ErrorCodeType &error) { error = {}; }
-
-    private:
-        value_type &m_body;
-    };
-};
-
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
@@ -325,8 +293,6 @@
     // What the connection waits for. Each phase has its own time limit, but Busy has none.
     enum class Phase : std::uint8_t { None, Idle, Header, Body, Busy, Linger };
 
-    using ParserType = http::request_parser<GrowingBody>;
-
     void read()
     {
         if (m_isReading || m_isAwaitingRoom || readRoom() == 0)
@@ -419,7 +385,7 @@
     [[nodiscard]] std::uint64_t held() const
     {
         return connectionBytes + m_buffer.capacity() + copiesUnderWay * m_order.bytes().value()
-            + (m_parser ? m_parser->get().body().capacity() + m_fieldBytes : 0);
+            + (m_parser ? parsedBytes() : 0);
     }
 
     // The most that the connection may hold once `size` more bytes have been parsed. Buffers and
@@ -431,7 +397,7 @@
         after += buffered - std::min(buffered, m_buffer.capacity());
         if (!m_parser || !m_parser->is_header_done())
             return after;
-        const std::string &body = m_parser->get().body();
+        const std::string &body = m_parser->request().body;
         const std::size_t next = body.size() + size;
         if (next > body.capacity())
             after += std::max(next, 2 * body.capacity()) - body.capacity();
@@ -477,10 +443,7 @@
             if (!m_parser)
                 beginRequest();
             ErrorCodeType error;
-            const bool hadHeader = m_parser->is_header_done();
             m_buffer.consume(m_parser->put(m_buffer.data(), error));
-            if (!hadHeader && m_parser->is_header_done())
-                m_fieldBytes = sizeOfFields(m_parser->get());
             if (error == http::error::need_more) {
                 if (m_buffer.size() >= maxBufferedBytes())
                     refuse(error);
@@ -496,21 +459,17 @@
 
     [[nodiscard]] bool isComplete() const { return m_parser && m_parser->is_done(); }
 
-    template <typename Fields>
-    [[nodiscard]] static std::size_t sizeOfFields(const Fields &fields)
+    // Memory of what the parser has stored, as allocated.
+    [[nodiscard]] std::uint64_t parsedBytes() const
     {
-        std::size_t bytes = 0;
-        for (const auto &field : fields)
-            bytes += field.name_string().size() + field.value().size() + fieldBytes;
-        return bytes;
+        return m_parser->request().body.capacity() + m_parser->fieldBytes();
     }
 
     // Reports the complete request, once there is memory for it under way. Returns false when it
     // waits.
     [[nodiscard]] bool admit()
     {
-        const std::uint64_t parsed = m_parser->get().body().capacity() + m_fieldBytes;
-        switch (ask(held() - parsed + copiesUnderWay * requestBytes())) {
+        switch (ask(held() - parsedBytes() + copiesUnderWay * requestBytes())) {
         case ClientMemory::Answer::Wait:
             return false;
         case ClientMemory::Answer::Refuse:
@@ -523,16 +482,10 @@
         return true;
     }
 
-    // Whether the method of the request that is being read is HEAD.
-    [[nodiscard]] bool isHeadRequest() const
-    {
-        return m_parser && m_parser->get().method() == http::verb::head;
-    }
-
     // Size of the complete request.
     [[nodiscard]] std::uint64_t requestBytes() const
     {
-        return m_parser->get().body().size() + m_fieldBytes;
+        return m_parser->request().body.size() + m_parser->fieldBytes();
     }
 
     [[nodiscard]] bool mayParse() const
@@ -556,20 +509,13 @@
     void onRequest()
     {
         const ByteCount size(requestBytes());
-        const bool isHead = isHeadRequest();
-        auto message = m_parser->release();
+        const bool isHead = m_parser->isHead();
+        const bool isLast = !m_parser->keep_alive();
+        HttpRequest request = m_parser->release();
         m_parser.reset();
-        m_fieldBytes = 0;
         m_phase = Phase::None; // the next request has its own time limits
-        if (!message.keep_alive())
+        if (isLast)
             endReading();
-        HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto &field : message)
-            request.headers.push_back(
-                { std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(message.body());
         const ExchangeId exchange = m_server->m_nextExchange++;
         m_order.admit(exchange, size);
         updateBytesUnderWay();
@@ -596,7 +542,7 @@
     // reading.
     void refuse(HttpResponse response)
     {
-        const bool isToHead = isHeadRequest();
+        const bool isToHead = m_parser && m_parser->isHead();
         endReading();
         const ExchangeId exchange = m_server->m_nextExchange++;
         m_order.admit(exchange, ByteCount());
@@ -609,7 +555,6 @@
         m_isReadEnded = true;
         m_isAwaitingRoom = false;
         m_parser.reset();
-        m_fieldBytes = 0;
         m_unread = 0;
         m_buffer.clear();
         m_buffer.shrink_to_fit();
@@ -626,8 +571,10 @@
         const bool isLast = m_order.isEmpty() && (m_isReadEnded || m_server->m_isDraining);
         if (isLast)
             endReading();
-        m_response.emplace(
-            encode(std::move(next->response), { .isToHead = next->isToHead, .isLast = isLast }));
+        const ResponsePlace place { .isToHead = next->isToHead, .isLast = isLast };
+        m_response = encode(std::move(next->response), place);
+        if (!m_response)
+            m_response = encode({ 502, {}, "HTTP/1.1 does not allow the response\n" }, place);
         m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response,
                           [self = shared_from_this()](ErrorCodeType error, std::size_t) {
@@ -745,8 +692,7 @@
     const ClientId m_id;
     asio::steady_timer m_timer; // of the phase
     Phase m_phase = Phase::None; // the one for which the timer was started
-    std::optional<ParserType> m_parser; // while a request is being read
-    std::size_t m_fieldBytes = 0; // memory of the header fields in m_parser
+    std::optional<RequestParser> m_parser; // while a request is being read
     std::size_t m_receivedInWindow = 0; // since the timer was started
     std::size_t m_discarded = 0; // bytes read after m_isReadEnded
     bool m_isAwaitingRoom = false; // no memory for m_unread or for the complete request
--- a/src/endpoints/platformendpoint.cpp
+++ b/src/endpoints/platformendpoint.cpp
@@ -72,7 +72,7 @@
     const auto *write = std::get_if<PlatformWrite>(&operation);
     const bool isWrite = write != nullptr;
     if (const auto *failure = std::get_if<HttpFailure>(&result))
-        return PlatformNoReply { isWrite && failure->kind != HttpFailure::Kind::NotSent };
+        return PlatformNoReply { isWrite && !failure->isUnsent() };
     const auto &response = std::get<HttpResponse>(result);
     switch (response.status) {
     case 200: {
--- /dev/null
+++ b/src/endpoints/requestparser.cpp
@@ -0,0 +1,62 @@
+// Storage of the parts of a request as the HTTP library reports them.
+#include <camphorreach/impl/requestparser.h>
+
+#include <camphorreach/impl/httpencoding.h>
+
+#include <boost/beast/http/error.hpp>
+#include <string>
+
+namespace camphorreach::impl {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Memory for a header field beside its text.
+constexpr std::size_t bytesBesideText = 128;
+
+} // namespace
+
+void RequestParser::on_request_impl(Verb, StringView method, StringView target, int, Error &error)
+{
+    error = {};
+    m_request.method.assign(method.data(), method.size());
+    m_request.target.assign(target.data(), target.size());
+}
+
+void RequestParser::on_response_impl(int, StringView, int, Error &error)
+{
+    error = http::error::bad_method;
+}
+
+void RequestParser::on_field_impl(Field, StringView name, StringView value, Error &error)
+{
+    error = {};
+    if (std::max(name.size(), value.size()) > maxFieldBytes) {
+        error = http::error::header_limit;
+        return;
+    }
+    m_request.headers.push_back({ std::string(name), std::string(value) });
+    m_fieldBytes += name.size() + value.size() + bytesBesideText;
+}
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &error)
+{
+    error = {};
+    if (m_request.method == "TRACE")
+        error = http::error::unexpected_body;
+}
+
+std::size_t RequestParser::on_body_impl(StringView body, Error &error)
+{
+    error = {};
+    m_request.body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, StringView body, Error &error)
+{
+    return on_body_impl(body, error);
+}
+
+} // namespace camphorreach::impl
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -36,6 +36,8 @@
     switch (failure) {
     case BackendFailure::NotSent:
         return NotRun { NotRunReason::Unreachable };
+    case BackendFailure::InvalidRequest:
+        return NotRun { NotRunReason::Malformed };
     case BackendFailure::Refused:
         return NotRun { NotRunReason::BackendRefused };
     case BackendFailure::ConnectionLost:
--- a/tests/backendendpointtest.cpp
+++ b/tests/backendendpointtest.cpp
@@ -78,9 +78,15 @@
     BackendResult call(const NetAddress &address, const std::string &method = "GET")
     {
         start(address);
-        BackendCall backendCall { CallId(1), {} };
+        return callAgain(CallId(1), method, "");
+    }
+
+    // Makes another call on the endpoint that is running.
+    BackendResult callAgain(CallId id, const std::string &method, const std::string &body)
+    {
+        BackendCall backendCall { id, {} };
         backendCall.request.budget = std::chrono::seconds(5);
-        backendCall.request.content = { method, "/stock", "", "" };
+        backendCall.request.content = { method, "/stock", "", body };
         endpoint->ring().push(std::move(backendCall));
         while (auto event = events.pop(eventTimeout)) {
             if (auto *result = std::get_if<BackendResult>(&*event))
@@ -171,6 +177,24 @@
     CHECK(std::holds_alternative<Answered>(result.result));
 }
 
+// Guards against a request that HTTP/1.1 does not allow and that ends the process, or keeps its
+// connection.
+TEST_CASE_METHOD(BackendEndpointFixture, "BackendEndpoint_traceWithBody_endsOnlyThatCall")
+{
+    const RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    start(server.address());
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        const BackendResult refused = callAgain(CallId(i), "TRACE", "body");
+        REQUIRE(refused.id == CallId(i));
+        const auto *failure = std::get_if<BackendFailure>(&refused.result);
+        REQUIRE(failure != nullptr);
+        CHECK(*failure == BackendFailure::InvalidRequest);
+    }
+    const BackendResult answered = callAgain(CallId(21), "GET", "");
+    endpoint->stop();
+    CHECK(std::holds_alternative<Answered>(answered.result));
+}
+
 // Guards against a node that stays ready when its backend server stops, or does not become ready
 // when it starts again.
 TEST_CASE_METHOD(BackendEndpointFixture, "BackendEndpoint_serverStopsAndStarts_reportsBoth")
--- a/tests/gatetest.cpp
+++ b/tests/gatetest.cpp
@@ -106,6 +106,9 @@
     send(request(6));
     process(BackendResult { CallId(6), Answered { 503, "", "overloaded" } });
     CHECK(outcomeOf(6) == "answered overloaded");
+    send(request(7));
+    fail(7, BackendFailure::InvalidRequest);
+    CHECK(outcomeOf(7) == "not-run malformed");
 }
 
 TEST_CASE_METHOD(GateFixture, "Gate_lateOrDuplicateResult_isDroppedAndCounted")
--- a/tests/httpframingtest.cpp
+++ b/tests/httpframingtest.cpp
@@ -144,5 +144,53 @@
     CHECK(behindHead(response).empty());
 }
 
+// Guards against a request that is reported although it cannot be forwarded.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_traceWithBody_isAnswered400")
+{
+    const std::string framing = GENERATE("Content-Length: 1\r\n\r\nx",
+                                         "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    send("TRACE / HTTP/1.1\r\nHost: test\r\n" + framing);
+    CHECK(requests.empty());
+    CHECK(receive().substr(0, 12) == "HTTP/1.1 400");
+}
+
+// Guards against a check that refuses TRACE altogether.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_traceWithoutBody_isReported")
+{
+    sendRequest("TRACE");
+    CHECK(requests.size() == 1);
+}
+
+// Guards against an exception of the parser, which ended the process, when the configuration allows
+// larger headers than the library holds in one field.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_fieldOf70KBWithinTheLimit_isAnswered431")
+{
+    HttpLimits limits;
+    limits.headerBytes = 256 * 1024;
+    server.setLimits(limits);
+    REQUIRE_NOTHROW(
+        send("GET / HTTP/1.1\r\nHost: test\r\nX-Long: " + std::string(70'000, 'x') + "\r\n\r\n"));
+    CHECK(requests.empty());
+    CHECK(receive().substr(0, 12) == "HTTP/1.1 431");
+}
+
+// Guards against an exception of the encoder, which ended the process, and against a response that
+// the client does not take for a final one.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_responseThatCannotBeSent_isAnswered502")
+{
+    const bool hasLongField = GENERATE(true, false);
+    const std::uint16_t status = hasLongField ? 200 : GENERATE(0, 101, 199, 1000);
+    std::vector<impl::HttpHeader> headers;
+    if (hasLongField)
+        headers.push_back({ "X-Long", std::string(70'000, 'x') });
+    sendRequest("GET");
+    sendRequest("GET");
+    REQUIRE(requests.size() == 2);
+    REQUIRE_NOTHROW(server.respond(requests[0], { status, headers, "text" }));
+    CHECK(receive().substr(0, 12) == "HTTP/1.1 502");
+    server.respond(requests[1], { 200, {}, "whole" });
+    CHECK(behindHead(receive()) == "whole");
+}
+
 } // namespace
 } // namespace camphorreach
