Discard trailer fields, which no limit for headers covers

Cause: the library merges the trailer fields of a chunked body into the header fields. The memory of the fields was counted before the body, so up to 80 KB of trailer, 16,000 short fields, were held with the request without being counted, and a trailer "Host" was forwarded as the header field.

Change: RequestParser discards them (RFC 9110, section 6.5.1). Until the end of the trailer they are bytes in the buffer, which are counted.

--- a/include/camphorreach/impl/requestparser.h
+++ b/include/camphorreach/impl/requestparser.h
@@ -13,6 +13,8 @@
 /// Parses one request. Memory grows with the body that arrives instead of being allocated for the
 /// size that the client announces. A request that HTTP/1.1 does not allow to be forwarded is
 /// malformed: TRACE with a body (RFC 9110, section 9.3.8), or a field above the maximum size.
+/// Trailer fields are discarded, as RFC 9110, section 6.5.1 has it for recipients that do not know
+/// their meaning: no limit for headers covers them, and as header fields they could replace those.
 class RequestParser : public boost::beast::http::basic_parser<true>
 {
 public:
@@ -34,7 +36,7 @@
                          Error &error) override;
     void on_response_impl(int status, StringView reason, int version, Error &error) override;
     void on_field_impl(Field field, StringView name, StringView value, Error &error) override;
-    void on_header_impl(Error &error) override { error = {}; }
+    void on_header_impl(Error &error) override;
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &error) override;
     std::size_t on_body_impl(StringView body, Error &error) override;
     void on_chunk_header_impl(std::uint64_t, StringView, Error &error) override { error = {}; }
@@ -43,6 +45,7 @@
 
     HttpRequest m_request;
     std::size_t m_fieldBytes = 0; // sum over the header fields
+    bool m_isHeaderComplete = false; // fields that follow are trailer fields
 };
 
 } // namespace camphorreach::impl
--- a/src/endpoints/requestparser.cpp
+++ b/src/endpoints/requestparser.cpp
@@ -3,6 +3,7 @@
 
 #include <camphorreach/impl/httpencoding.h>
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <string>
 
@@ -32,6 +33,8 @@
 void RequestParser::on_field_impl(Field, StringView name, StringView value, Error &error)
 {
     error = {};
+    if (m_isHeaderComplete)
+        return;
     if (std::max(name.size(), value.size()) > maxFieldBytes) {
         error = http::error::header_limit;
         return;
@@ -40,6 +43,12 @@
     m_fieldBytes += name.size() + value.size() + bytesBesideText;
 }
 
+void RequestParser::on_header_impl(Error &error)
+{
+    error = {};
+    m_isHeaderComplete = true;
+}
+
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &error)
 {
     error = {};
--- a/tests/clientcrowdtest.cpp
+++ b/tests/clientcrowdtest.cpp
@@ -243,5 +243,23 @@
     checkHolds({ post(fields), "x", 1, std::string(99, 'x') });
 }
 
+// Guards against trailer fields that are not counted: no limit for headers covers them.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_longTrailers_staysWithinItsMemory")
+{
+    std::string trailer = "0\r\n";
+    for (int i = 0; i < 15'000; ++i)
+        trailer += "a:b\r\n";
+    checkHolds({ post("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n", trailer, 1, "\r\n" });
+}
+
+// Guards against clients that wait for "100 Continue" and are not counted.
+TEST_CASE_METHOD(ClientCrowdFixture, "Sidecar_headersThatExpectContinue_staysWithinItsMemory")
+{
+    std::string fields = "Expect: 100-continue\r\nContent-Length: 100\r\n";
+    for (int i = 0; i < 2300; ++i)
+        fields += "a:b\r\n";
+    checkHolds({ post(fields), "", 1, std::string(100, 'x') });
+}
+
 } // namespace
 } // namespace camphorreach
--- a/tests/httpclientmemorytest.cpp
+++ b/tests/httpclientmemorytest.cpp
@@ -82,11 +82,13 @@
     asio::io_context clientIo;
     MetricsRegistry metrics;
     std::deque<impl::ExchangeId> requests;
+    impl::HttpRequest lastRequest; // the one that was reported last
     impl::HttpServer server { io,
                               { "127.0.0.1", 0 },
                               limits(),
-                              { [this](impl::ExchangeId id, impl::HttpRequest &&) {
+                              { [this](impl::ExchangeId id, impl::HttpRequest &&request) {
                                    requests.push_back(id);
+                                   lastRequest = std::move(request);
                                },
                                 [](impl::ExchangeId) {} },
                               &metrics };
@@ -150,6 +152,68 @@
     CHECK(metrics.counter("guest.closed_memory").value() == 1);
 }
 
+// Guards against trailer fields that no limit covers: they were stored as header fields, and the
+// memory for them was not counted.
+TEST_CASE_METHOD(HttpClientMemoryFixture, "HttpServer_trailerOfManyFields_isNotHeldWithTheRequest")
+{
+    std::string trailer = "Host: other\r\n";
+    for (int i = 0; i < 10'000; ++i)
+        trailer += "a:b\r\n";
+    const auto client = connect();
+    send(*client,
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + trailer + "\r\n");
+    for (int i = 0; i < 300 && requests.empty(); ++i)
+        runServer(std::chrono::milliseconds(10));
+    REQUIRE(requests.size() == 1);
+    CHECK(lastRequest.headers.size() == 1);
+    CHECK(lastRequest.header("Host").empty());
+    CHECK(lastRequest.body == "x");
+}
+
+// Guards against a trailer without end that is not counted while it arrives.
+TEST_CASE_METHOD(HttpClientMemoryFixture, "HttpServer_trailersWithoutEnd_areCounted")
+{
+    constexpr std::size_t trailerBytes = 50'000;
+    std::vector<std::unique_ptr<tcp::socket>> clients;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        clients.push_back(connect());
+        send(*clients.back(),
+             "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "
+                 + std::string(trailerBytes, 'x'));
+        runServer(std::chrono::milliseconds(10));
+    }
+    const std::uint64_t peak = metrics.counter("guest.memory_peak_bytes").value();
+    CHECK(peak >= maxConnections * trailerBytes);
+    CHECK(peak <= total);
+    CHECK(requests.empty());
+}
+
+// Guards against clients that wait for "100 Continue" with large headers and are not counted, or
+// keep the room from others.
+TEST_CASE_METHOD(HttpClientMemoryFixture, "HttpServer_headersThatExpectContinue_giveWayToOthers")
+{
+    constexpr std::uint64_t oneHeader = 512 * 1024; // parsed before its memory is known
+    std::string fields = "Host: test\r\nExpect: 100-continue\r\nContent-Length: 100\r\n";
+    for (int i = 0; i < 2500; ++i)
+        fields += "a:b\r\n";
+    std::vector<std::unique_ptr<tcp::socket>> clients;
+    for (std::size_t i = 0; i + 1 < maxConnections; ++i) {
+        clients.push_back(connect());
+        send(*clients.back(), "POST / HTTP/1.1\r\n" + fields + "\r\n");
+        runServer(std::chrono::milliseconds(10));
+    }
+    runServer(std::chrono::milliseconds(50));
+    const auto ordinary = connect();
+    send(*ordinary, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nbody");
+    for (int i = 0; i < 300 && requests.empty(); ++i)
+        runServer(std::chrono::milliseconds(10));
+    CHECK(requests.size() == 1);
+    CHECK(metrics.counter("guest.closed_memory").value() > 0);
+    const std::uint64_t peak = metrics.counter("guest.memory_peak_bytes").value();
+    CHECK(peak >= 2500 * std::uint64_t { 128 });
+    CHECK(peak <= total + oneHeader);
+}
+
 // Guards against any sequence of bytes and closes that makes the server hold more than its limit.
 TEST_CASE_METHOD(HttpClientMemoryFixture, "HttpServer_randomClients_heldMemoryStaysWithinTheLimit")
 {
