Answer "Expect: 100-continue" before the body

Cause: the server never sent "100 Continue". Clients that wait for it, as curl does with large bodies, send the body only after a time of their own, and their headers are held meanwhile. RFC 9110, section 10.1.1 asks for it.

Change: once the header of an HTTP/1.1 request with that expectation is complete and nothing of its body has come, the session writes the interim response, after the responses to earlier requests and never within one.

--- a/include/camphorreach/impl/requestparser.h
+++ b/include/camphorreach/impl/requestparser.h
@@ -23,6 +23,8 @@
     /// Memory of the header fields.
     [[nodiscard]] std::size_t fieldBytes() const noexcept { return m_fieldBytes; }
     [[nodiscard]] bool isHead() const noexcept { return m_request.method == "HEAD"; }
+    /// Whether the header is complete, and the client waits for "100 Continue" before the body.
+    [[nodiscard]] bool expectsContinue() const noexcept { return m_expectsContinue; }
     /// The complete request. The parser must not be used afterwards.
     [[nodiscard]] HttpRequest release() noexcept { return std::move(m_request); }
 
@@ -45,6 +47,8 @@
 
     HttpRequest m_request;
     std::size_t m_fieldBytes = 0; // sum over the header fields
+    int m_version = 0; // 11 for HTTP/1.1
+    bool m_expectsContinue = false;
     bool m_isHeaderComplete = false; // fields that follow are trailer fields
 };
 
--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -14,10 +14,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -452,6 +454,8 @@
             if (error)
                 refuse(error);
         }
+        if (isContinueDue())
+            writeContinue();
         if (m_buffer.capacity() > firstReadBytes + 2 * m_buffer.size())
             m_buffer.shrink_to_fit();
         updateTimer();
@@ -498,9 +502,19 @@
             && m_server->m_bytesUnderWay < maxBytesUnderWay;
     }
 
+    // Whether the client waits for "100 Continue" before it sends the body (RFC 9110, section
+    // 10.1.1). Responses to earlier requests go first.
+    [[nodiscard]] bool isContinueDue() const
+    {
+        return m_parser && m_parser->expectsContinue() && !m_parser->is_done()
+            && m_parser->request().body.empty() && m_buffer.size() == 0 && isIdle()
+            && !m_hasWrittenContinue;
+    }
+
     void beginRequest()
     {
         m_parser.emplace();
+        m_hasWrittenContinue = false;
         m_parser->eager(true);
         m_parser->body_limit(std::min<std::uint64_t>(m_server->m_limits.bodyBytes, maxBodyBytes));
         m_parser->header_limit(m_server->m_limits.headerBytes);
@@ -560,9 +574,24 @@
         m_buffer.shrink_to_fit();
     }
 
+    void writeContinue()
+    {
+        static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+        m_hasWrittenContinue = true;
+        m_isWritingContinue = true;
+        m_stream.expires_after(writeTimeout);
+        asio::async_write(m_stream, asio::buffer(text),
+                          [self = shared_from_this()](ErrorCodeType error, std::size_t) {
+                              self->m_isWritingContinue = false;
+                              if (error)
+                                  return self->disconnect();
+                              self->writeNext();
+                          });
+    }
+
     void writeNext()
     {
-        if (m_response)
+        if (m_response || m_isWritingContinue)
             return;
         std::optional<WaitingResponse> next = m_order.takeNext();
         updateBytesUnderWay();
@@ -697,6 +726,8 @@
     std::size_t m_discarded = 0; // bytes read after m_isReadEnded
     bool m_isAwaitingRoom = false; // no memory for m_unread or for the complete request
     std::optional<EncodedResponse> m_response; // while it is being written
+    bool m_isWritingContinue = false; // then no response is written
+    bool m_hasWrittenContinue = false; // for the request that is being read
     ResponseOrder<ExchangeId, WaitingResponse> m_order;
     std::uint64_t m_countedBytes = 0; // part of the server's m_bytesUnderWay
     bool m_isReading = false;
--- a/src/endpoints/requestparser.cpp
+++ b/src/endpoints/requestparser.cpp
@@ -15,12 +15,15 @@
 
 // Memory for a header field beside its text.
 constexpr std::size_t bytesBesideText = 128;
+constexpr int firstVersionWithContinue = 11; // HTTP/1.1, the latest that the library parses
 
 } // namespace
 
-void RequestParser::on_request_impl(Verb, StringView method, StringView target, int, Error &error)
+void RequestParser::on_request_impl(Verb, StringView method, StringView target, int version,
+                                    Error &error)
 {
     error = {};
+    m_version = version;
     m_request.method.assign(method.data(), method.size());
     m_request.target.assign(target.data(), target.size());
 }
@@ -47,6 +50,8 @@
 {
     error = {};
     m_isHeaderComplete = true;
+    m_expectsContinue = m_version == firstVersionWithContinue
+        && equalsIgnoringCase(m_request.header("Expect"), "100-continue");
 }
 
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &error)
--- a/tests/httpframingtest.cpp
+++ b/tests/httpframingtest.cpp
@@ -38,6 +38,11 @@
         send(method + " / HTTP/1.1\r\nHost: test\r\n\r\n");
     }
 
+    static std::string expecting(const std::string &fields)
+    {
+        return "POST / HTTP/1.1\r\nHost: test\r\nExpect: 100-continue\r\n" + fields + "\r\n";
+    }
+
     // Runs the server for a moment.
     void runServer()
     {
@@ -73,6 +78,7 @@
         return bytes.substr(0, bytes.find("\r\n\r\n")).find("Content-Length") != std::string::npos;
     }
 
+    static constexpr const char *continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::io_context io;
     std::vector<impl::ExchangeId> requests;
     impl::HttpServer server {
@@ -192,5 +198,50 @@
     CHECK(behindHead(receive()) == "whole");
 }
 
+// Guards against clients that wait in vain for permission to send the body.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_clientExpectsContinue_isToldToSendTheBody")
+{
+    send(expecting("Content-Length: 4\r\n"));
+    CHECK(receive() == continueResponse);
+    CHECK(requests.empty());
+    send("body");
+    REQUIRE(requests.size() == 1);
+    server.respond(requests[0], { 200, {}, "ok" });
+    CHECK(receive().substr(0, 12) == "HTTP/1.1 200");
+    send(expecting("Transfer-Encoding: chunked\r\n"));
+    CHECK(receive() == continueResponse);
+}
+
+// Guards against an interim response between the parts of others, or before an earlier one.
+TEST_CASE_METHOD(HttpFramingFixture,
+                 "HttpServer_continueBehindAnotherRequest_comesAfterItsResponse")
+{
+    sendRequest("GET");
+    send(expecting("Content-Length: 4\r\n"));
+    CHECK(receive().empty());
+    server.respond(requests.at(0), { 200, {}, "ok" });
+    const std::string responses = receive();
+    CHECK(responses.substr(0, 12) == "HTTP/1.1 200");
+    CHECK(responses.ends_with("\r\n\r\nok" + std::string(continueResponse)));
+}
+
+// Guards against an interim response that nobody expects.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_bodyIsNotAwaited_sendsNoContinue")
+{
+    const std::string bytes = GENERATE_REF(
+        expecting("Content-Length: 4\r\n") + "bo", expecting("Content-Length: 0\r\n"),
+        "POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n",
+        "POST / HTTP/1.1\r\nExpect: other\r\nContent-Length: 4\r\n\r\n");
+    send(bytes);
+    CHECK(receive().empty());
+}
+
+// Guards against an invitation to send a body that is refused afterwards.
+TEST_CASE_METHOD(HttpFramingFixture, "HttpServer_tooLargeBodyExpectsContinue_isAnswered413AtOnce")
+{
+    send(expecting("Content-Length: 99999999\r\n"));
+    CHECK(receive().substr(0, 12) == "HTTP/1.1 413");
+}
+
 } // namespace
 } // namespace camphorreach
