Split the HTTP server by its duties

Cause: httpserver.cpp had 954 lines for accepting, memory, reading, writing and time limits.

Change: httpserverimpl.h has the state that connections share, httpserver.cpp what concerns more than one connection, httpsession.cpp the life, memory and time limits of one, httpsessionreading.cpp and httpsessionwriting.cpp its requests and responses. Functions are moved as they were.

--- /dev/null
+++ b/src/endpoints/httpsessionwriting.cpp
@@ -0,0 +1,98 @@
+// Writing of responses on a connection, in the order of their requests.
+#include "httpsession.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+#include <string_view>
+#include <utility>
+
+namespace camphorreach::impl {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto writeTimeout = std::chrono::seconds(30);
+
+} // namespace
+
+void HttpServer::Impl::Session::respond(ExchangeId exchange, WaitingResponse waiting)
+{
+    const ByteCount size(waiting.response.body.size());
+    if (m_order.complete(exchange, std::move(waiting), size))
+        writeNext();
+    reportMemory(0);
+}
+
+bool HttpServer::Impl::Session::isContinueDue() const
+{
+    return m_parser && m_parser->expectsContinue() && !m_parser->is_done()
+        && m_parser->request().body.empty() && m_buffer.size() == 0 && isIdle()
+        && !m_hasWrittenContinue;
+}
+
+void HttpServer::Impl::Session::writeContinue()
+{
+    static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_hasWrittenContinue = true;
+    m_isWritingContinue = true;
+    m_stream.expires_after(writeTimeout);
+    asio::async_write(m_stream, asio::buffer(text),
+                      [self = shared_from_this()](ErrorCodeType error, std::size_t) {
+                          self->m_isWritingContinue = false;
+                          if (error)
+                              return self->disconnect();
+                          self->writeNext();
+                      });
+}
+
+void HttpServer::Impl::Session::writeNext()
+{
+    if (m_response || m_isWritingContinue)
+        return;
+    std::optional<WaitingResponse> next = m_order.takeNext();
+    updateBytesUnderWay();
+    if (!next)
+        return;
+    const bool isLast = m_order.isEmpty() && (m_isReadEnded || m_server->m_isDraining);
+    if (isLast)
+        endReading();
+    const ResponsePlace place { .isToHead = next->isToHead, .isLast = isLast };
+    m_response = encode(std::move(next->response), place);
+    if (!m_response)
+        m_response = encode({ 502, {}, "HTTP/1.1 does not allow the response\n" }, place);
+    m_stream.expires_after(writeTimeout);
+    http::async_write(
+        m_stream, *m_response,
+        [self = shared_from_this()](ErrorCodeType error, std::size_t) { self->onWritten(error); });
+}
+
+void HttpServer::Impl::Session::onWritten(ErrorCodeType error)
+{
+    m_response.reset();
+    if (error || m_hasClientClosed)
+        return disconnect();
+    writeNext();
+    parse();
+    reportMemory(0);
+    // A response that was sent before the drain may have announced keep-alive, so the
+    // connection stays open until the grace period ends.
+    const bool isClosing = m_server->m_isClosing && !hasPartialRequest();
+    if (isIdle() && (m_isReadEnded || isClosing))
+        return linger();
+    read();
+}
+
+void HttpServer::Impl::Session::linger()
+{
+    ErrorCodeType ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    endReading();
+    m_isLingering = true;
+    reportMemory(0);
+    updateTimer();
+    read();
+}
+
+} // namespace camphorreach::impl
