Share the time of a gate between organisations

Cause: FairShare knows routes only. One organisation at seven times its usual, or one whose clients repeat at once, takes the others' room, and one request a second among large organisations is refused like any other. Tags are charged on arrival, so what is refused or expires counts too.

Change: OrganisationShares adds two levels above the routes: calls of running requests before new ones up to four fifths of the time, then organisations by weight. Both are charged by learned service time when a request starts. GateQueue orders its groups by these tags; when it is full it sheds the last request of the organisation furthest above its share. Without organisations in the configuration all requests are one group, in the same order as before.

--- a/include/camphorreach/fairshare.h
+++ b/include/camphorreach/fairshare.h
@@ -2,7 +2,7 @@
 // weights.
 #pragma once
 
-#include <camphorreach/gatequeue.h>
+#include <camphorreach/fairtag.h>
 #include <camphorreach/ids.h>
 #include <camphorreach/units.h>
 
@@ -17,6 +17,9 @@
 class FairShare
 {
 public:
+    /// Virtual time that a request of the expected service time \a cost takes, at least one unit.
+    /// Zero means that the cost is unknown.
+    [[nodiscard]] static std::int64_t stepOf(std::uint32_t weight, Duration cost);
     /// Assigns the start tag of a new request of \a route with the expected service time \a cost.
     /// Zero means that it is unknown.
     [[nodiscard]] FairTag assignTag(const RouteName &route, std::uint32_t weight, Duration cost);
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -7,9 +7,9 @@
 #include <camphorreach/egressbudget.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/evacuation.h>
-#include <camphorreach/fairshare.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/gatequeue.h>
+#include <camphorreach/organisationshares.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/quarantinespread.h>
 #include <camphorreach/random.h>
@@ -81,6 +81,10 @@
     /// the gate.
     Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random);
 
+    // The queues refer to the shares.
+    Gate(const Gate &) = delete;
+    Gate &operator=(const Gate &) = delete;
+
     void process(Input input, TimePoint now, Outbox<Output> &outbox);
     void advance(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<TimePoint> nextDeadline() const;
@@ -171,6 +175,7 @@
     InstanceId m_server; // empty until announced
     bool m_isAccepting; // as announced
     QuarantineSpread m_spread;
+    OrganisationShares m_shares;
     GateQueue m_queue;
     GateQueue m_lateQueue; // requests that will miss their target; run when m_queue is empty
     GateQueue m_suspectQueue; // suspects, which run one at a time with no other call in flight
@@ -181,7 +186,6 @@
     EgressBudget m_egress;
     std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
     ColdStartLimiter m_coldStart;
-    FairShare m_shares;
     std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots when a call starts; only one while m_isolatedCall is set
     std::optional<CallId> m_isolatedCall; // call of the suspect that runs in isolation
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -80,7 +80,8 @@
     ServiceName service;
     RouteName route;
     KindName kind;
-    std::uint32_t kindWeight = 1;
+    std::uint32_t kindWeight = 1; ///< The weight of the organisation goes before the route's.
+    std::uint32_t routeWeight = 1; ///< Weight of the route among those of the organisation.
     bool isIdempotent = false;
     BackendVersion version;
     Duration budget {}; ///< Time left when the request was sent.
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -51,9 +51,10 @@
 void serialize(Archive &archive, ForwardRequest &request)
 {
     archive(request.id, request.service, request.route, request.kind, request.kindWeight,
-            request.isIdempotent, request.version, request.budget, request.targetBudget,
-            request.key, request.isFreshKey, request.depth, request.attempt, request.configVersion,
-            request.content, request.attemptId, request.caller, request.organisation);
+            request.routeWeight, request.isIdempotent, request.version, request.budget,
+            request.targetBudget, request.key, request.isFreshKey, request.depth, request.attempt,
+            request.configVersion, request.content, request.attemptId, request.caller,
+            request.organisation);
 }
 
 template <typename Archive>
--- a/src/filters/requests/fairshare.cpp
+++ b/src/filters/requests/fairshare.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+std::int64_t FairShare::stepOf(std::uint32_t weight, Duration cost)
+{
+    const Duration expectedCost = cost > Duration::zero() ? cost : defaultCost;
+    return std::max<std::int64_t>(1, expectedCost.count() / std::max(1U, weight));
+}
+
 FairTag FairShare::nextTag(const RouteName &route) const
 {
     const auto last = m_finishTags.find(route);
@@ -20,14 +26,11 @@
 
 FairTag FairShare::assignTag(const RouteName &route, std::uint32_t weight, Duration cost)
 {
-    const Duration expectedCost = cost > Duration::zero() ? cost : defaultCost;
-    const std::int64_t step
-        = std::max<std::int64_t>(1, expectedCost.count() / std::max(1U, weight));
     if (m_finishTags.size() >= maxRoutes) // entries up to the virtual time have no effect
         std::erase_if(m_finishTags,
                       [this](const auto &entry) { return entry.second <= m_virtualTime; });
     const FairTag start = nextTag(route);
-    m_finishTags[route] = FairTag(start.value() + step);
+    m_finishTags[route] = FairTag(start.value() + stepOf(weight, cost));
     return start;
 }
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -66,10 +66,10 @@
 Gate::Gate(Limits limits, ServiceName service, NetAddress self, RandomSource &random)
     : m_limits(limits), m_slots(limits.slots), m_service(service),
       m_isAccepting(!limits.needsAnnouncement),
-      m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
-      m_lateQueue(limits.queue), m_suspectQueue(suspectQueueLimits(limits.queue)),
-      m_results(limits.results), m_containment(limits.crashes),
-      m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
+      m_spread(std::move(service), std::move(self), random), m_queue(limits.queue, m_shares),
+      m_lateQueue(limits.queue, m_shares),
+      m_suspectQueue(suspectQueueLimits(limits.queue), m_shares), m_results(limits.results),
+      m_containment(limits.crashes), m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
 { }
 
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -98,6 +98,8 @@
             },
             [&](SnapshotChanged &changed) {
                 m_snapshot = std::move(changed.snapshot);
+                m_shares.setActive(m_limits.queue.isFair && m_snapshot
+                                   && !m_snapshot->organisations.empty());
                 updateWarmUpPolicy(now);
                 if (m_coldStart.isLimiting())
                     reviewQueues(now, outbox);
@@ -128,6 +130,8 @@
             target,
             {},
             {},
+            {},
+            {},
             costClass },
           now, outbox);
 }
@@ -250,7 +254,8 @@
     probe.request.kindWeight = work.request.kindWeight;
     probe.target = work.target;
     probe.deadline = work.deadline;
-    probe.tag = m_shares.nextTag(work.request.route);
+    probe.group = m_shares.groupOf(work.request);
+    probe.tag = m_shares.nextTag(probe.group, work.request.route);
     const std::size_t before = m_queue.countBefore(probe);
     const Duration coldWait = m_coldStart.waitFor(before, now);
     if (isSlotFree)
@@ -321,8 +326,9 @@
     if (status == CrashContainment::Status::Quarantined)
         return refuse(work, NotRunReason::Quarantined, now, outbox);
     work.expectedWork = m_remainingWork.work(work.costClass);
-    work.tag = m_shares.assignTag(work.request.route, work.request.kindWeight,
-                                  m_serviceTimes.mean(work.request.route));
+    work.group = m_shares.groupOf(work.request);
+    work.cost = m_serviceTimes.mean(work.request.route);
+    work.tag = m_shares.assignTag(work.group, work.request, work.cost);
     GateQueue &queue = status == CrashContainment::Status::Suspect ? m_suspectQueue
         : missesTarget(work, now)                                  ? m_lateQueue
                                                                    : m_queue;
@@ -572,7 +578,7 @@
         refuse(work, NotRunReason::DeadlinePassed, now, outbox);
         return false;
     }
-    m_shares.onStarted(work.tag);
+    m_shares.onStarted(work.group, work.request, work.tag, work.cost);
     m_coldStart.onStarted(now);
     const CallId id(m_nextCall++);
     work.request.budget = work.answerDeadline - now;
--- a/src/filters/requests/pendingrequest.cpp
+++ b/src/filters/requests/pendingrequest.cpp
@@ -79,6 +79,7 @@
     forward.route = route->name;
     forward.kind = route->kind;
     forward.kindWeight = weight();
+    forward.routeWeight = route->kindWeight;
     forward.isIdempotent = route->isIdempotent;
     forward.version = current->sentAttempt.version;
     forward.budget = left - std::min(hopAllowance, left / 10);
--- a/tests/fairsharetest.cpp
+++ b/tests/fairsharetest.cpp
@@ -1,5 +1,6 @@
 // Tests of fair queueing: shares of service time under overload, and of idle routes.
 #include <camphorreach/fairshare.h>
+#include <camphorreach/gatequeue.h>
 
 #include <catch2/catch.hpp>
 
