--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -80,7 +80,8 @@
     ServiceName service;
     RouteName route;
     KindName kind;
-    std::uint32_t kindWeight = 1;
+    std::uint32_t kindWeight = 1; ///< The weight of the organisation goes before the route's.
+    std::uint32_t routeWeight = 1; ///< Weight of the route among those of the organisation.
     bool isIdempotent = false;
     BackendVersion version;
     Duration budget {}; ///< Time left when the request was sent.
@@ -187,6 +188,7 @@
 
 enum class BackendFailure : std::uint8_t {
     NotSent, ///< No byte of the request was written.
+    InvalidRequest, ///< HTTP/1.1 does not allow the request, so nothing was written.
     Refused, ///< A 503 response with `X-Not-Run: 1`, which states that it was not started.
     ConnectionLost, ///< The connection ended before the response began.
     PartialResponse, ///< The connection ended within the response.
