Divide retry budgets between organisations

Change: half of what the attempts of an organisation earn is its own credit. Beyond that it takes tokens only while more are left than it took recently. At most 128 organisations are told apart in a bucket; the one with the fewest recent attempts and retries makes room. The total of a bucket and its fleet limit are unchanged, and without organisations nothing is divided.

--- a/include/camphorreach/pendingrequest.h
+++ b/include/camphorreach/pendingrequest.h
@@ -56,6 +56,11 @@
                                RandomSource &random);
 
     [[nodiscard]] std::uint32_t weight() const noexcept;
+    /// Empty for a request without an organisation.
+    [[nodiscard]] OrganisationName organisationName() const
+    {
+        return organisation != nullptr ? organisation->name : OrganisationName();
+    }
     /// True for non-idempotent requests with an idempotency key.
     [[nodiscard]] bool requiresOwner() const noexcept;
     /// True when no caller upstream is retrying. Only then does the request add to the retry
--- a/include/camphorreach/retrybudget.h
+++ b/include/camphorreach/retrybudget.h
@@ -18,6 +18,11 @@
 /// a token. Separate buckets per depth keep one level of a call chain from spending the retries of
 /// another. An optional fleet limit also bounds the retries of all nodes together; every node then
 /// uses its share of that limit.
+///
+/// Organisations share a bucket: half of what the attempts of one add is its own credit. Beyond
+/// that it takes tokens only while more are left than it took recently, so that one whose requests
+/// all fail leaves some to the others, also to those that have sent nothing yet. Without
+/// organisations nothing is divided.
 class RetryBudget
 {
 public:
@@ -46,14 +51,21 @@
     /// Sets the number of nodes that share the fleet limit, including this one; at least one.
     void setNodeCount(std::size_t nodeCount) { m_nodeCount = std::max<std::size_t>(1, nodeCount); }
     /// Records a first attempt, which adds \a ratio of a token.
-    void deposit(const ServiceName &service, CallDepth depth, Share ratio, TimePoint now);
+    void deposit(const ServiceName &service, CallDepth depth, const OrganisationName &organisation,
+                 Share ratio, TimePoint now);
     /// Takes a token. Returns false when the budget is exhausted.
-    [[nodiscard]] bool tryTake(const ServiceName &service, CallDepth depth, TimePoint now);
+    [[nodiscard]] bool tryTake(const ServiceName &service, CallDepth depth,
+                               const OrganisationName &organisation, TimePoint now);
     /// Drops the buckets of services that are not in \a snapshot.
     void retain(const Snapshot &snapshot);
 
     [[nodiscard]] std::size_t size() const noexcept { return m_buckets.size(); }
 
+    /// Max organisations that are told apart in a bucket.
+    static constexpr std::size_t maxParts = 128;
+    /// Organisations that are told apart, in all buckets.
+    [[nodiscard]] std::size_t partCount() const noexcept;
+
 private:
     struct Key
     {
@@ -63,15 +75,29 @@
         friend auto operator<=>(const Key &, const Key &) = default;
     };
 
+    // What an organisation may take of a bucket.
+    struct Part
+    {
+        double credit = 0.0; // earned and not taken; in [0, m_limits.maxTokens / 2]
+        double taken = 0.0; // beyond its credit, decaying
+        double recentAttempts = 0.0; // first attempts, decaying
+        TimePoint decayedAt {};
+    };
+
     struct Bucket
     {
         double tokens = 0.0; // in [0, m_limits.maxTokens]
         double recentAttempts = 0.0; // first attempts, decaying over the window of the fleet limit
         Share ratio; // of the latest first attempt
         TimePoint decayedAt {}; // when recentAttempts was last updated
+        std::map<OrganisationName, Part> parts {}; // at most maxParts
     };
 
     void decay(Bucket &bucket, TimePoint now) const;
+    static void decay(Part &part, TimePoint now);
+    [[nodiscard]] static Part &partOf(Bucket &bucket, const OrganisationName &organisation,
+                                      TimePoint now);
+    static void dropIdle(Bucket &bucket, TimePoint now);
     [[nodiscard]] double tokenLimit(const ServiceName &service, const Bucket &bucket) const;
 
     Limits m_limits {};
--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -130,6 +130,7 @@
 
     void onAttemptOutcome(RequestId requestId, Outcome outcome, TimePoint now,
                           Outbox<Output> &outbox);
+    [[nodiscard]] bool mayRetry(const PendingRequest &pending, TimePoint now);
     void endAttempt(PendingRequest &pending, AttemptEnd end, TimePoint now);
     void cancelAttempt(PendingRequest &pending, AttemptEnd end, TimePoint now,
                        Outbox<Output> &outbox);
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -432,7 +432,7 @@
     const bool isOwnRetry = pending.attempts > 0;
     if (!isOwnRetry && pending.isFirstOfChain())
         m_retryBudget.deposit(pending.serviceName, pending.request.depth,
-                              pending.service->retryBudget, now);
+                              pending.organisationName(), pending.service->retryBudget, now);
     ++pending.attempts;
     ++m_counts.attempts;
     m_counts.retries += isOwnRetry ? 1 : 0;
@@ -477,7 +477,7 @@
         if (const auto *unknown = std::get_if<OutcomeUnknown>(&outcome))
             pending.unknownReason = unknown->reason;
         if (hasFailed && now < pending.deadline && pending.mayRunAgain()
-            && m_retryBudget.tryTake(service, pending.request.depth, now)) {
+            && mayRetry(pending, now)) {
             if (answered != nullptr)
                 pending.lastAnswer = *answered;
             pending.placement.failedTargets.push_back(sentAttempt.peer);
@@ -515,9 +515,7 @@
     }
     pending.placement.failedTargets.push_back(sentAttempt.peer);
     const bool isFirst = pending.refusals == 1 && !pending.requiresOwner();
-    if (isFirst
-        && (notRun.reason == NotRunReason::Draining
-            || m_retryBudget.tryTake(pending.serviceName, pending.request.depth, now)))
+    if (isFirst && (notRun.reason == NotRunReason::Draining || mayRetry(pending, now)))
         return sendOrQueue(pending, now, outbox);
     enqueue(pending, now + retryBackoff(pending.refusals), now, outbox);
 }
@@ -537,12 +535,18 @@
     // A refusal by the backend server itself has cost it work; one by a gate has not.
     const bool needsRetryToken = notRun.reason == NotRunReason::BackendRefused;
     if (isTerminal || now >= pending.deadline || pending.refusals >= m_options.maxRefusals
-        || (needsRetryToken
-            && !m_retryBudget.tryTake(pending.serviceName, pending.request.depth, now)))
+        || (needsRetryToken && !mayRetry(pending, now)))
         return finish(pending.request.id, notRun, now, outbox);
     sendOrQueue(pending, now, outbox);
 }
 
+template <BalancingPolicy Policy>
+bool BasicRouter<Policy>::mayRetry(const PendingRequest &pending, TimePoint now)
+{
+    return m_retryBudget.tryTake(pending.serviceName, pending.request.depth,
+                                 pending.organisationName(), now);
+}
+
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::endAttempt(PendingRequest &pending, AttemptEnd end, TimePoint now)
 {
