Believe a backend server that started after the clock had stepped back

Cause: announcements are ordered by start time, so a server whose start time lies below that of the one before counted as a late announcement of an earlier run for good, and got no requests.

Change: such a run is believed once it has announced itself for the heartbeat timeout, with rising sequence numbers and no gap of that timeout, while the latest run was silent. A run that was the latest before is never believed again, whatever its start time.

--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -73,6 +73,11 @@
 /// server. When the settings name a service, an announcement of another one by a server that
 /// started before they were read is out of date; after the heartbeat timeout such a server is
 /// believed, as it is still there.
+///
+/// A run whose start time is below that of the latest one is announced late, or the clock has
+/// stepped back between the two. It is believed when it must be the latter: it was never the latest
+/// before, and for the heartbeat timeout it has sent one announcement after the other while the
+/// latest was silent.
 class LocalServer
 {
 public:
@@ -88,6 +93,15 @@
     [[nodiscard]] std::optional<TimePoint> nextDeadline() const;
 
 private:
+    // A run with an earlier start time than the latest one.
+    struct EarlierRun
+    {
+        DepartedRun run;
+        AnnouncementSequence sequence; // the highest one
+        TimePoint firstAt {}; // of announcements with no gap of the heartbeat timeout
+        TimePoint lastAt {}; // of the one with the highest sequence number
+    };
+
     void onAnnouncement(BackendAnnouncement &&announcement, TimePoint now);
     void onDeparture(const BackendDeparture &departure);
     void onSettings(LocalServerSettings &&settings, TimePoint now);
@@ -97,6 +111,8 @@
     void holdBack(BackendAnnouncement &&announcement);
     void releasePending(TimePoint now);
     [[nodiscard]] bool isKnownService(const ServiceName &service) const;
+    // Whether a run with an earlier start time than the latest one is the present one.
+    [[nodiscard]] bool isConfirmed(const BackendAnnouncement &announcement, TimePoint now);
     [[nodiscard]] bool isOutOfDate(const BackendAnnouncement &announcement, TimePoint now) const;
     void publish(TimePoint now, Outbox<Output> &outbox);
 
@@ -108,6 +124,9 @@
     const Duration m_heartbeatTimeout;
     std::optional<BackendAnnouncement>
         m_latest; // of the most recent run; its sequence number never decreases
+    // Runs that were the latest before, which have ended; the last ones, at most maxReplaced.
+    std::deque<DepartedRun> m_replacedRuns;
+    std::optional<EarlierRun> m_earlierRun; // that was announced since m_receivedAt
     bool m_isLatestReplaced = false; // the settings have named another service since
     TimePoint m_receivedAt {}; // arrival of m_latest
     DepartedRuns m_departures;
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -13,6 +13,8 @@
 // A node without a configuration receives about one announcement per second, and the latest ones
 // contain the complete state.
 constexpr std::size_t maxPending = 64;
+// More servers than start beside a node while announcements of an earlier one are late.
+constexpr std::size_t maxReplaced = 16;
 // A store that works responds within 250 ms, also to a node that has just started.
 constexpr Duration restoreTimeout = std::chrono::seconds(2);
 // Announcements take different times to arrive. A warm-up that ends this much later than was
@@ -58,16 +60,26 @@
         m_haveDeparturesChanged = m_departures.add(run) || m_haveDeparturesChanged;
     if (!m_areDeparturesKnown)
         return holdBack(std::move(announcement));
+    if (std::ranges::find(m_replacedRuns, run) != m_replacedRuns.end())
+        return;
     if (m_latest) {
         const auto order = [](const BackendAnnouncement &item) {
             return std::tie(item.startTime, item.sequence);
         };
-        if (order(announcement) <= order(*m_latest))
+        const bool isEarlierRun = announcement.startTime < m_latest->startTime;
+        if (isEarlierRun ? !isConfirmed(announcement, now)
+                         : order(announcement) <= order(*m_latest))
             return;
         // A run that has started to drain never stops draining.
         const bool isSameRun = announcement.startTime == m_latest->startTime;
         announcement.isDraining |= isSameRun && m_latest->isDraining;
     }
+    if (m_latest && announcement.startTime != m_latest->startTime) {
+        if (m_replacedRuns.size() == maxReplaced)
+            m_replacedRuns.pop_front();
+        m_replacedRuns.push_back({ m_latest->server, m_latest->startTime });
+    }
+    m_earlierRun.reset();
     m_isRunNew = m_isRunNew || !m_latest || announcement.startTime != m_latest->startTime;
     m_latest = std::move(announcement);
     m_isLatestReplaced = false;
@@ -75,6 +87,21 @@
     m_receivedAt = now;
 }
 
+bool LocalServer::isConfirmed(const BackendAnnouncement &announcement, TimePoint now)
+{
+    const DepartedRun run { announcement.server, announcement.startTime };
+    if (!m_earlierRun || m_earlierRun->run != run
+        || now - m_earlierRun->lastAt >= m_heartbeatTimeout) {
+        m_earlierRun = EarlierRun { run, announcement.sequence, now, now };
+        return false;
+    }
+    if (announcement.sequence <= m_earlierRun->sequence)
+        return false;
+    m_earlierRun->sequence = announcement.sequence;
+    m_earlierRun->lastAt = now;
+    return now - m_earlierRun->firstAt >= m_heartbeatTimeout;
+}
+
 // The server that was announced before no longer runs, or the settings would still name its
 // service.
 void LocalServer::onSettings(LocalServerSettings &&settings, TimePoint now)
--- a/tests/localservertest.cpp
+++ b/tests/localservertest.cpp
@@ -120,6 +120,71 @@
     CHECK(isAccepting());
 }
 
+// Guards against a server that never gets requests because the clock stepped back before its start.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_clockStepsBackBeforeNextRun_isBelievedInTheEnd")
+{
+    process(announcement(7, 200));
+    BackendAnnouncement next = announcement(1, 150);
+    next.server = InstanceId("i-2");
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        advance(seconds(1));
+        next.sequence = AnnouncementSequence(i);
+        process(next);
+        CHECK((!latest || latest->server == InstanceId("i-1")));
+    }
+    CHECK_FALSE(isAccepting());
+    advance(seconds(1));
+    next.sequence = AnnouncementSequence(7);
+    process(next);
+    REQUIRE(isAccepting());
+    CHECK(latest->server == InstanceId("i-2"));
+    process(announcement(8, 200)); // late, of the run before
+    CHECK(latest->server == InstanceId("i-2"));
+}
+
+// Guards against an ended run that is believed again because its announcements are late.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_lateAnnouncementsOfEndedRun_areNeverBelieved")
+{
+    process(announcement(1, 100));
+    process(announcement(1, 200));
+    for (std::uint64_t i = 2; i <= 30; ++i) { // the run of 200 is silent, and has ended as well
+        advance(seconds(1));
+        process(announcement(i, 100));
+    }
+    CHECK_FALSE(isAccepting());
+}
+
+// Guards against a single announcement, one repeated, several at once or some far apart that are
+// taken for a run that is still there.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_fewAnnouncementsOfEarlierRun_areNotBelieved")
+{
+    process(announcement(1, 200));
+    advance(seconds(10));
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        process(announcement(i, 100));
+    CHECK_FALSE(isAccepting());
+    for (const std::uint64_t i : { 20, 21, 21, 22 }) {
+        advance(seconds(10));
+        process(announcement(i, 100));
+    }
+    CHECK_FALSE(isAccepting());
+}
+
+// Guards against two servers that replace each other while both announce themselves.
+TEST_CASE_METHOD(LocalServerFixture, "LocalServer_latestRunStillAnnounces_earlierOneIsNotBelieved")
+{
+    BackendAnnouncement other = announcement(1, 100);
+    other.server = InstanceId("i-2");
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        process(announcement(i, 200));
+        advance(seconds(3));
+        other.sequence = AnnouncementSequence(i);
+        process(other);
+        CHECK(latest->server == InstanceId("i-1"));
+    }
+    CHECK(isAccepting());
+}
+
 // Guards against a server that departs without draining first, and is accepted again because of a
 // late heartbeat.
 TEST_CASE_METHOD(LocalServerFixture, "LocalServer_departure_appliesUntilTheNextRun")
