Turn away the request of the organisation furthest above its share

Cause: the gate decides about a request when it arrives. Once queued, it keeps its place until it is too late to start, also when others go before it; and with all places of late requests taken, whoever comes next is refused, even if it is within its share and the places belong to one organisation.

Change: with organisations, the last request in the order is looked at after each arrival. If it can no longer meet its target it waits with the late ones, of which the last is refused once there are more than slots. Such a request was never started, so "not run" is true. The order and the admission without organisations are as before.

--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -135,11 +135,13 @@
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
     [[nodiscard]] Duration egressWait(const GateWork &work, Duration wait, TimePoint now) const;
     [[nodiscard]] Duration minTimeLeft(const RouteName &route) const;
-    [[nodiscard]] bool missesTarget(const GateWork &work, TimePoint now) const;
+    [[nodiscard]] bool missesTarget(const GateWork &work, Duration wait, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
     [[nodiscard]] std::optional<GateWork> nextWork(TimePoint now);
     [[nodiscard]] NotRun overloaded(Duration wait);
     [[nodiscard]] Duration expectedWait(const GateWork &work, TimePoint now) const;
+    [[nodiscard]] Duration waitBehind(std::size_t before, TimePoint now) const;
+    void reviewDisplaced(TimePoint now, Outbox<Output> &outbox);
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineMessage &message, TimePoint now, Outbox<Output> &outbox);
 
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -181,11 +181,12 @@
     if (work.answerDeadline - now < wait + m_serviceTimes.mean(request.route) + sendWait + transfer)
         return overloaded(wait + sendWait);
     // A late response is better than a refusal, as long as late requests do not delay the others.
-    if (!missesTarget(work, now))
+    if (!missesTarget(work, wait, now))
         return std::nullopt;
     // At the rate of a cold server, late requests would wait behind the others until they expire.
     const bool waitsForRate = m_coldStart.isLimiting() && wait > Duration::zero();
-    if (waitsForRate || m_lateQueue.size() >= m_slots)
+    // Between organisations, reviewDisplaced() chooses the one that is turned away.
+    if (waitsForRate || (m_lateQueue.size() >= m_slots && !m_shares.isActive()))
         return overloaded(wait);
     return std::nullopt;
 }
@@ -212,12 +213,11 @@
     return m_limits.rejectsEarly ? mean * minStartPercent / 100 : mean;
 }
 
-// Whether the request is expected to be answered after its target if it is queued now.
-bool Gate::missesTarget(const GateWork &work, TimePoint now) const
+// Whether the request is expected to be answered after its target if it waits this long.
+bool Gate::missesTarget(const GateWork &work, Duration wait, TimePoint now) const
 {
     if (!m_limits.rejectsEarly)
         return false;
-    const Duration wait = expectedWait(work, now);
     return work.target - now < wait + m_serviceTimes.mean(work.request.route)
         + egressWait(work, wait, now) + m_egress.transferTimeOf(work.request.route);
 }
@@ -247,8 +247,7 @@
 // before it.
 Duration Gate::expectedWait(const GateWork &work, TimePoint now) const
 {
-    const bool isSlotFree = m_running.size() < m_slots;
-    if (isSlotFree && !m_coldStart.isLimiting())
+    if (m_running.size() < m_slots && !m_coldStart.isLimiting())
         return Duration::zero();
     GateWork probe;
     probe.request.kindWeight = work.request.kindWeight;
@@ -256,9 +255,14 @@
     probe.deadline = work.deadline;
     probe.group = m_shares.groupOf(work.request);
     probe.tag = m_shares.nextTag(probe.group, work.request.route);
-    const std::size_t before = m_queue.countBefore(probe);
+    return waitBehind(m_queue.countBefore(probe), now);
+}
+
+// Expected time until the request after \a before others gets a slot and may start.
+Duration Gate::waitBehind(std::size_t before, TimePoint now) const
+{
     const Duration coldWait = m_coldStart.waitFor(before, now);
-    if (isSlotFree)
+    if (m_running.size() < m_slots)
         return coldWait;
     const auto ahead = static_cast<Duration::rep>(before) + 1;
     return std::max(coldWait,
@@ -330,11 +334,34 @@
     work.cost = m_serviceTimes.mean(work.request.route);
     work.tag = m_shares.assignTag(work.group, work.request, work.cost);
     GateQueue &queue = status == CrashContainment::Status::Suspect ? m_suspectQueue
-        : missesTarget(work, now)                                  ? m_lateQueue
+        : missesTarget(work, expectedWait(work, now), now)         ? m_lateQueue
                                                                    : m_queue;
     const auto shed = queue.push(std::move(work));
     m_counts.shed += shed.size();
     refuseAll(shed, NotRunReason::Overloaded, now, outbox);
+    reviewDisplaced(now, outbox);
+}
+
+// A request that goes before others takes time from the last one, which belongs to the organisation
+// that is the furthest above its share. If that one can no longer meet its target, it waits with
+// the late ones, or is refused while there is still time to run elsewhere.
+void Gate::reviewDisplaced(TimePoint now, Outbox<Output> &outbox)
+{
+    if (!m_shares.isActive())
+        return;
+    std::vector<GateWork> refused;
+    while (m_queue.size() > 1
+           && missesTarget(*m_queue.last(), waitBehind(m_queue.size() - 1, now), now)) {
+        if (m_coldStart.isLimiting())
+            refused.push_back(m_queue.popLast());
+        else
+            std::ranges::move(m_lateQueue.push(m_queue.popLast()), std::back_inserter(refused));
+    }
+    while (m_lateQueue.size() > m_slots)
+        refused.push_back(m_lateQueue.popLast());
+    m_counts.shed += refused.size();
+    for (const GateWork &work : refused)
+        refuse(work, overloaded(waitBehind(m_queue.size(), now)), now, outbox);
 }
 
 // Whether enough time is left to start the request. A refusal lowers the mean service time.
