Learn from health answers that a backend server has turned cold

Cause: a gate heard only from the next heartbeat, up to 1.5 s later, that its server had turned cold by itself, and sent it the load of a warm one meanwhile. The header X-Camphorreach-Warmup-Remaining-Ms of health answers was not read, and no health requests were sent at all.

Change: HealthMonitor, a part of the gate, paces health requests where the settings state an interval (backend-server.health-check-ms), the service has a warm-up rate and its configuration names a health path. The server is asked only while it is believed to be warm and more requests started in the last second than a cold one tolerates. The answer reaches the gate as a typed value (BackendHealth); it limits at once and tells LocalServer, so that an announcement that was sent before does not lift the limit. Only the id of the server and the time left are read, not the status. Without the interval, the path or the header, everything is as before.

The path is part of the policy that nodes send each other, so the wire format of services with a warm-up changes. The test of the decoded warm-up now also compares the path.

--- a/include/camphorreach/coldstart.h
+++ b/include/camphorreach/coldstart.h
@@ -28,11 +28,18 @@
     void setPolicy(const std::optional<WarmUpPolicy> &policy, TimePoint now);
     /// The backend server announced that it stays cold for \a left; zero when it is warm.
     void onAnnounced(Duration left, TimePoint now);
+    /// A health response states that the backend server stays cold for \a left. It may have been
+    /// sent before the latest announcement, so it never ends a warm-up.
+    void onHealth(Duration left, TimePoint now);
     /// A new process of the backend server accepts connections and has not announced itself yet.
     void onProcessStarted(TimePoint now);
     /// A request was dispatched.
     void onStarted(TimePoint now);
 
+    [[nodiscard]] const std::optional<WarmUpPolicy> &policy() const noexcept { return m_policy; }
+    /// Whether the server is warm and more requests started in the last second than it tolerates
+    /// while it is cold.
+    [[nodiscard]] bool exceedsColdRate() const;
     /// Whether a policy exists and the server is cold.
     [[nodiscard]] bool isLimiting() const noexcept { return m_policy && m_isCold; }
     [[nodiscard]] bool mayStart(TimePoint now) const { return !isLimiting() || nextStart() <= now; }
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -10,6 +10,7 @@
 #include <camphorreach/fairshare.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/gatequeue.h>
+#include <camphorreach/healthmonitor.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/quarantinespread.h>
 #include <camphorreach/random.h>
@@ -36,12 +37,13 @@
 class Gate
 {
 public:
-    using Input = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult,
-                               BackendReachable, BackendLeaving, PeerReceived<QuarantineMessage>,
-                               EndpointsChanged, DrainStarted, BackendAnnounced,
-                               EgressBacklogChanged, SnapshotChanged, BackendEvacuated>;
+    using Input
+        = std::variant<ForwardReceived, CancelReceived, LinkClosed, BackendResult, BackendReachable,
+                       BackendLeaving, PeerReceived<QuarantineMessage>, EndpointsChanged,
+                       DrainStarted, BackendAnnounced, EgressBacklogChanged, SnapshotChanged,
+                       BackendEvacuated, HealthResult>;
     using Output = std::variant<ForwardReply, BackendCall, BackendCancel, PeerSend, GateDrained,
-                                GateDecision>;
+                                GateDecision, HealthCall, BackendHealth>;
 
     struct Counts
     {
@@ -52,6 +54,7 @@
         std::uint64_t egressRefused
             = 0; ///< Refused because the bandwidth of the machine was taken.
         std::uint64_t coldRefused = 0; ///< Refused because the backend server is cold.
+        std::uint64_t healthCalls = 0;
         std::uint64_t lateResults = 0; ///< Results of calls that no caller waits for; dropped.
         std::uint64_t keyHits = 0; ///< Retries that were answered without a second run.
         std::uint64_t crashes = 0;
@@ -71,6 +74,9 @@
         /// Learns the costs of requests, and reports with its load when a request would start and
         /// how long it would run.
         bool estimatesCost = false;
+        /// Interval at which a warm backend server that may turn cold is asked for its state; empty
+        /// when it is not asked.
+        std::optional<Duration> healthInterval {};
         GateQueue::Limits queue {};
         ResultStore::Limits results {};
         CrashContainment::Limits crashes {};
@@ -125,6 +131,7 @@
     void onCancel(LinkId link, std::optional<RequestId> id, TimePoint now, Outbox<Output> &outbox);
     void cancelCalls(LinkId link, std::optional<RequestId> id, Outbox<Output> &outbox);
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
+    void onHealth(HealthResult &&result, TimePoint now, Outbox<Output> &outbox);
     void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
     void updateWarmUpPolicy(TimePoint now);
     void reviewQueues(TimePoint now, Outbox<Output> &outbox);
@@ -146,6 +153,9 @@
     static void emitAll(std::vector<PeerSend> &&notices, Outbox<Output> &outbox);
 
     void fillSlots(TimePoint now, Outbox<Output> &outbox);
+    void askForHealth(TimePoint now, Outbox<Output> &outbox);
+    // Slots that calls and the health request occupy.
+    [[nodiscard]] std::size_t busySlots() const noexcept;
     // Calls \a take on each queue, in the order in which the queues are served, and joins the
     // results.
     template <typename Take>
@@ -181,6 +191,7 @@
     EgressBudget m_egress;
     std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
     ColdStartLimiter m_coldStart;
+    HealthMonitor m_health;
     FairShare m_shares;
     std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
     Calls m_running; // at most m_slots when a call starts; only one while m_isolatedCall is set
--- a/include/camphorreach/impl/backendendpoint.h
+++ b/include/camphorreach/impl/backendendpoint.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -24,8 +25,8 @@
     NetAddress address;
 };
 
-using BackendCommand = std::variant<BackendCall, BackendCancel, BackendAddressChanged>;
-using BackendEvent = std::variant<BackendResult, BackendReachable>;
+using BackendCommand = std::variant<BackendCall, BackendCancel, BackendAddressChanged, HealthCall>;
+using BackendEvent = std::variant<BackendResult, BackendReachable, HealthResult>;
 
 /// Maps calls to a backend server to HTTP requests, and HTTP responses to results.
 template <typename D>
@@ -40,6 +41,9 @@
     {
         dialect.clientOptions()
         } -> std::same_as<HttpClient::Options>;
+    {
+        dialect.decodeHealth(response)
+        } -> std::same_as<BackendHealth>;
 };
 
 /// The native HTTP interface to backend servers, described in docs/OPERATIONS.md.
@@ -49,6 +53,8 @@
     [[nodiscard]] HttpRequest encode(BackendCall &&call) const;
     [[nodiscard]] std::variant<Answered, BackendFailure> decode(HttpResponse &&response) const;
     [[nodiscard]] HttpClient::Options clientOptions() const;
+    /// The native interface has no health responses.
+    [[nodiscard]] BackendHealth decodeHealth(const HttpResponse &) const { return {}; }
 };
 
 /// Maps the failure of an HTTP call to the failure that is reported to the gate.
@@ -61,8 +67,9 @@
     /// Receives events. It pushes into the reserve of the gate's ring, so it does not fail.
     using Sink = std::function<void(BackendEvent &&)>;
 
-    /// Opens at most \a maxConnections, but at least two, connections. One of them monitors the
-    /// reachability of the backend server; \a warmConnections of the others are kept open.
+    /// Opens at most \a maxConnections, but at least two, connections, and one more for health
+    /// calls. One of them monitors the reachability of the backend server; \a warmConnections of
+    /// the others are kept open.
     BasicBackendEndpoint(const NetAddress &backendServer, std::size_t maxConnections,
                          std::size_t warmConnections, Sink sink, MetricsRegistry &metrics,
                          Dialect dialect = {})
@@ -70,6 +77,7 @@
           m_latency(metrics.histogram("backend.latency")), m_warmConnections(warmConnections),
           m_client(m_thread.io(), backendServer, maxCallConnections(maxConnections),
                    m_dialect.clientOptions()),
+          m_healthClient(m_thread.io(), backendServer, 1, healthOptions()),
           m_monitor(m_thread.io(), backendServer,
                     [this](bool isReachable) { onReachabilityChanged(isReachable); }),
           m_input(m_thread.io(), ringCapacity, [this](BackendCommand &&command) {
@@ -77,6 +85,7 @@
                              [this](BackendCall &call) { onCall(std::move(call)); },
                              [this](BackendCancel &cancel) { onCancel(cancel); },
                              [this](BackendAddressChanged &changed) { onAddress(changed.address); },
+                             [this](HealthCall &call) { onHealthCall(std::move(call)); },
                          },
                          command);
           })
@@ -93,6 +102,10 @@
 
 private:
     static constexpr std::size_t ringCapacity = 8192;
+    static constexpr std::size_t maxHealthBytes = 64 * 1024;
+    // Shorter than the time after which backend servers close idle connections if they send no
+    // Keep-Alive timeout.
+    static constexpr Duration healthIdleTimeout = std::chrono::seconds(4);
 
     // One connection is for the monitor, but calls always get at least one.
     static std::size_t maxCallConnections(std::size_t maxConnections)
@@ -125,6 +138,32 @@
         m_client.warmUp(m_warmConnections); // replaces connections that were closed
     }
 
+    // Health responses carry no id, so they have a connection of their own: none of them can be
+    // taken for the response to a request. A connection on which anything arrives between two
+    // calls is closed, which ends a series of responses that are one call late.
+    static HttpClient::Options healthOptions()
+    {
+        HttpClient::Options options;
+        options.bodyBytes = maxHealthBytes;
+        options.idleTimeout = healthIdleTimeout;
+        return options;
+    }
+
+    void onHealthCall(HealthCall &&call)
+    {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = std::move(call.path);
+        m_healthClient.send(
+            std::move(request), call.timeout, [this, id = call.id](HttpResult &&result) {
+                const auto *response = std::get_if<HttpResponse>(&result);
+                m_sink(HealthResult { id,
+                                      response != nullptr
+                                          ? std::optional(m_dialect.decodeHealth(*response))
+                                          : std::nullopt });
+            });
+    }
+
     void onCancel(const BackendCancel &cancel)
     {
         const auto found = m_calls.find(cancel.id);
@@ -135,6 +174,7 @@
     void onAddress(const NetAddress &address)
     {
         m_client.setServer(address);
+        m_healthClient.setServer(address);
         m_monitor.setServer(address);
     }
 
@@ -152,6 +192,7 @@
     std::unordered_map<CallId, HttpClient::CallHandle> m_calls; // calls in flight
     const std::size_t m_warmConnections;
     HttpClient m_client;
+    HttpClient m_healthClient;
     ReachabilityMonitor m_monitor;
     InputRing<BackendCommand> m_input;
 };
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -207,6 +207,9 @@
         [this](bool isReachable) {
             m_log.info(isReachable ? "event=backend-reachable" : "event=backend-unreachable");
         },
+        [this](BackendHealth &&health) {
+            (void)m_localServer.ring().tryPush(std::move(health)); // the gate has applied it
+        },
     };
 }
 
--- a/include/camphorreach/impl/requestpath.h
+++ b/include/camphorreach/impl/requestpath.h
@@ -87,6 +87,8 @@
         std::function<void(RequestSample &&)> onSample;
         std::function<void(const EndpointsChanged &)> onEndpoints;
         std::function<void(bool)> onReachable;
+        /// Must not block, like onSample. May be empty.
+        std::function<void(BackendHealth &&)> onHealth {};
     };
 
     /// Binds the listeners. Throws std::exception when an address is not available.
@@ -240,6 +242,9 @@
                        [this](BackendResult &result) {
                            (void)m_gate.ring().pushReserved(std::move(result));
                        },
+                       [this](HealthResult &result) {
+                           (void)m_gate.ring().pushReserved(std::move(result));
+                       },
                        [this](BackendReachable &reachable) {
                            m_hooks.onReachable(reachable.isReachable);
                            (void)m_gate.ring().pushReserved(reachable);
@@ -278,6 +283,11 @@
                 [this](PeerSend &send) { m_peers.ring().push(std::move(send)); },
                 [this](GateDrained &) { m_gateDrained.set(); },
                 [this](GateDecision &decision) { m_gateLog.write(decision, SteadyClock().now()); },
+                [this](HealthCall &call) { m_backend.ring().push(std::move(call)); },
+                [this](BackendHealth &health) {
+                    if (m_hooks.onHealth)
+                        m_hooks.onHealth(std::move(health));
+                },
             },
             output);
     }
--- a/include/camphorreach/localserver.h
+++ b/include/camphorreach/localserver.h
@@ -69,6 +69,9 @@
 /// While the store cannot be read, announcements are accepted that arrive later than a timeout
 /// after the start, when those that were sent before the restart should have arrived.
 ///
+/// A health response tells of a warm-up sooner than the next announcement does. The first
+/// announcement after it may have been sent before it, so that one does not end the warm-up.
+///
 /// The service of the machine is the one that was stated last, by the settings or by a backend
 /// server. When the settings name a service, an announcement of another one by a server that
 /// started before they were read is out of date; after the heartbeat timeout such a server is
@@ -77,7 +80,7 @@
 {
 public:
     using Input = std::variant<BackendAnnouncement, BackendDeparture, LocalServerSettings,
-                               SnapshotChanged, DeparturesRestored>;
+                               SnapshotChanged, DeparturesRestored, BackendHealth>;
     using Output = std::variant<BackendAnnounced, DeparturesChanged, LocalServiceChanged>;
 
     /// The backend server is considered gone after \a heartbeatTimeout without an announcement.
@@ -90,6 +93,7 @@
 private:
     void onAnnouncement(BackendAnnouncement &&announcement, TimePoint now);
     void onDeparture(const BackendDeparture &departure);
+    void onHealth(const BackendHealth &health, TimePoint now);
     void onSettings(LocalServerSettings &&settings, TimePoint now);
     void onSnapshot(SnapshotChanged &&changed, TimePoint now);
     void onDeparturesRestored(const DeparturesRestored &restored, TimePoint now);
@@ -110,6 +114,10 @@
         m_latest; // of the most recent run; its sequence number never decreases
     bool m_isLatestReplaced = false; // the settings have named another service since
     TimePoint m_receivedAt {}; // arrival of m_latest
+    Duration m_warmUpLeft {}; // of m_latest's run, at m_warmUpKnownAt
+    TimePoint m_warmUpKnownAt {};
+    // m_warmUpLeft is from a health response, and no announcement has arrived since.
+    bool m_isWarmUpFromHealth = false;
     DepartedRuns m_departures;
     bool m_haveDeparturesChanged = false; // since they were published
     // Whether the stored departures are known, or the timeout for them has passed; never reset.
--- a/include/camphorreach/request.h
+++ b/include/camphorreach/request.h
@@ -8,6 +8,7 @@
 #include <camphorreach/units.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -208,6 +209,31 @@
     bool isReachable = false;
 };
 
+/// Asks the local backend server for its state.
+struct HealthCall
+{
+    CallId id;
+    std::string path;
+    Duration timeout {};
+};
+
+/// What the backend server states about itself in a health response. Whether it considers itself
+/// healthy is not among it: that may be wrong either way.
+struct BackendHealth
+{
+    InstanceId server; ///< Empty when the response names none.
+    std::optional<Duration> warmUpLeft {}; ///< Zero when it is warm; empty when not stated.
+
+    friend bool operator==(const BackendHealth &, const BackendHealth &) = default;
+};
+
+/// The end of a health call; without a state if it was not answered.
+struct HealthResult
+{
+    CallId id;
+    std::optional<BackendHealth> health;
+};
+
 /// The state of the local backend server, from its validated and ordered announcements.
 struct BackendAnnounced
 {
--- a/include/camphorreach/sidecarsettings.h
+++ b/include/camphorreach/sidecarsettings.h
@@ -42,6 +42,9 @@
     NetAddress announceAddress; ///< Receives the backend server's announcements.
     LocalServerSettings backendServer;
     Duration heartbeat = std::chrono::seconds(2); ///< Interval of announcements.
+    /// Interval of health requests to a backend server that may turn cold. Without it, none are
+    /// sent.
+    std::optional<Duration> healthInterval {};
     /// Time from the request to stop until the platform kills the process.
     Duration stopGrace = std::chrono::seconds(6);
     RetrySettings retries;
--- a/include/camphorreach/warmup.h
+++ b/include/camphorreach/warmup.h
@@ -5,6 +5,7 @@
 #include <camphorreach/units.h>
 
 #include <cstdint>
+#include <string>
 
 namespace camphorreach {
 
@@ -24,6 +25,8 @@
 
     Duration duration {}; ///< Of the warm-up after a start; at most maxDuration.
     WarmUpRate rate = safeRate; ///< From minRate to maxRate.
+    /// Where the server answers health requests; empty when it is not to be asked.
+    std::string healthPath {};
 
     friend bool operator==(const WarmUpPolicy &, const WarmUpPolicy &) = default;
 };
--- a/src/bench/crash.cpp
+++ b/src/bench/crash.cpp
@@ -227,6 +227,8 @@
                        },
                        [&](GateDrained &) {},
                        [](GateDecision &) {},
+                       [](HealthCall &) {},
+                       [](BackendHealth &) {},
                    },
                    output);
     }
--- a/src/endpoints/wire.cpp
+++ b/src/endpoints/wire.cpp
@@ -126,7 +126,7 @@
 template <typename Archive>
 void serialize(Archive &archive, WarmUpPolicy &policy)
 {
-    archive(policy.duration, policy.rate);
+    archive(policy.duration, policy.rate, policy.healthPath);
 }
 
 template <typename Archive>
--- a/src/filters/configuration/versionedconfig.cpp
+++ b/src/filters/configuration/versionedconfig.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t fixedDeltaBytes = 3 * 8 + 5 * lengthBytes + 2 * 4 + 3 * 8;
 constexpr std::size_t fixedRouteBytes = 5 * lengthBytes + 2 * 4 + 3 * 1 + 2 * 8;
 constexpr std::size_t fixedServiceBytes = lengthBytes + 4;
-constexpr std::size_t warmUpBytes = 1 + 8 + 4; // with the flag that says whether it follows
+// With the flag that says whether it follows, without the path.
+constexpr std::size_t warmUpBytes = 1 + 8 + 4 + lengthBytes;
 // Name, list of keys, and the optional weight and quota, each after a flag.
 constexpr std::size_t fixedOrganisationBytes = 2 * lengthBytes + (1 + 4) + (1 + 2 * 8);
 
@@ -54,8 +55,10 @@
     Hasher hasher;
     for (const MeshService &service : services) {
         hasher.add(service.name.value()).add(service.maxConnections);
-        if (service.warmUp)
+        if (service.warmUp) {
             hasher.add("warm-up").add(service.warmUp->duration).add(service.warmUp->rate.value());
+            hasher.add(service.warmUp->healthPath);
+        }
     }
     hasher.add(limits.headerBytes).add(limits.bodyBytes);
     hasher.add(limits.headerTimeout).add(limits.idleTimeout);
@@ -82,7 +85,8 @@
     for (const RouteKey &key : delta.removed)
         bytes += 2 * lengthBytes + key.host.size() + key.prefix.size();
     for (const MeshService &service : delta.services)
-        bytes += fixedServiceBytes + warmUpBytes + service.name.value().size();
+        bytes += fixedServiceBytes + warmUpBytes + service.name.value().size()
+            + (service.warmUp ? service.warmUp->healthPath.size() : 0);
     for (const Organisation &organisation : delta.organisations) {
         bytes += fixedOrganisationBytes + organisation.name.value().size();
         for (const ApiKey &key : organisation.keys)
--- a/src/filters/membership/localserver.cpp
+++ b/src/filters/membership/localserver.cpp
@@ -37,6 +37,7 @@
                    [&](LocalServerSettings &settings) { onSettings(std::move(settings), now); },
                    [&](SnapshotChanged &changed) { onSnapshot(std::move(changed), now); },
                    [&](DeparturesRestored &restored) { onDeparturesRestored(restored, now); },
+                   [&](BackendHealth &health) { onHealth(health, now); },
                },
                input);
     publish(now, outbox);
@@ -68,7 +69,13 @@
         const bool isSameRun = announcement.startTime == m_latest->startTime;
         announcement.isDraining |= isSameRun && m_latest->isDraining;
     }
-    m_isRunNew = m_isRunNew || !m_latest || announcement.startTime != m_latest->startTime;
+    const bool isNewRun = !m_latest || announcement.startTime != m_latest->startTime;
+    const bool mayPrecedeHealth = std::exchange(m_isWarmUpFromHealth, false) && !isNewRun;
+    if (!mayPrecedeHealth || announcement.warmUpLeft > Duration::zero()) {
+        m_warmUpLeft = announcement.warmUpLeft;
+        m_warmUpKnownAt = now;
+    }
+    m_isRunNew = m_isRunNew || isNewRun;
     m_latest = std::move(announcement);
     m_isLatestReplaced = false;
     m_service = m_latest->service;
@@ -112,6 +119,17 @@
         m_latest->isDraining = true;
 }
 
+// Warm-ups are ended by announcements only, because a late response would end a newer one.
+void LocalServer::onHealth(const BackendHealth &health, TimePoint now)
+{
+    if (!m_latest || m_isLatestReplaced || health.server != m_latest->server
+        || health.warmUpLeft.value_or(Duration::zero()) <= Duration::zero())
+        return;
+    m_warmUpLeft = *health.warmUpLeft;
+    m_warmUpKnownAt = now;
+    m_isWarmUpFromHealth = true;
+}
+
 void LocalServer::onDeparturesRestored(const DeparturesRestored &restored, TimePoint now)
 {
     m_departures.add(restored.departures);
@@ -170,10 +188,10 @@
                                  m_latest->version,
                                  m_latest->slots,
                                  !m_latest->isDraining && !m_isLatestReplaced && !isTimedOut,
-                                 m_latest->warmUpLeft };
+                                 m_warmUpLeft };
     // The remaining warm-up time shrinks with every announcement; only a start of a warm-up is a
     // change. The server may become cold again before the last warm-up has ended.
-    const TimePoint warmAt = m_receivedAt + m_latest->warmUpLeft;
+    const TimePoint warmAt = m_warmUpKnownAt + m_warmUpLeft;
     const bool isCold = announced.warmUpLeft > Duration::zero();
     const bool wasCold = m_published && m_published->warmUpLeft > Duration::zero();
     const bool isColdAgain = isCold && (!wasCold || warmAt > m_publishedWarmAt + warmUpTolerance);
--- a/src/filters/requests/coldstart.cpp
+++ b/src/filters/requests/coldstart.cpp
@@ -40,6 +40,14 @@
     m_isCold = now < m_coldUntil;
 }
 
+void ColdStartLimiter::onHealth(Duration left, TimePoint now)
+{
+    if (left <= Duration::zero())
+        return;
+    m_coldUntil = std::max(m_coldUntil, now + std::min(left, WarmUpPolicy::maxDuration));
+    m_isCold = true;
+}
+
 void ColdStartLimiter::onProcessStarted(TimePoint now)
 {
     if (!m_policy || m_coldUntil == TimePoint::max())
@@ -57,6 +65,11 @@
         m_starts.pop_front();
 }
 
+bool ColdStartLimiter::exceedsColdRate() const
+{
+    return m_policy && !m_isCold && m_starts.size() > startsPerSecond();
+}
+
 std::size_t ColdStartLimiter::startsPerSecond() const
 {
     return std::max(1U, m_policy->rate.value() / thousandths);
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -69,7 +69,8 @@
       m_spread(std::move(service), std::move(self), random), m_queue(limits.queue),
       m_lateQueue(limits.queue), m_suspectQueue(suspectQueueLimits(limits.queue)),
       m_results(limits.results), m_containment(limits.crashes),
-      m_remainingWork(limits.estimatesCost), m_egress(limits.egress)
+      m_remainingWork(limits.estimatesCost), m_egress(limits.egress),
+      m_health(limits.healthInterval)
 { }
 
 void Gate::process(Input input, TimePoint now, Outbox<Output> &outbox)
@@ -92,6 +93,7 @@
             [&](BackendLeaving &leaving) { m_isBackendLeaving = leaving.isLeaving; },
             [&](EgressBacklogChanged &changed) { m_egress.onBacklog(changed, now); },
             [&](DrainStarted &) { m_isDraining = true; },
+            [&](HealthResult &result) { onHealth(std::move(result), now, outbox); },
             [&](BackendEvacuated &evacuated) {
                 m_isEvacuated = evacuated.isEvacuated;
                 reviewQueues(now, outbox);
@@ -243,7 +245,7 @@
 // before it.
 Duration Gate::expectedWait(const GateWork &work, TimePoint now) const
 {
-    const bool isSlotFree = m_running.size() < m_slots;
+    const bool isSlotFree = busySlots() < m_slots;
     if (isSlotFree && !m_coldStart.isLimiting())
         return Duration::zero();
     GateWork probe;
@@ -269,6 +271,24 @@
     return requests;
 }
 
+// The local server hears of it too: an announcement that was sent before may still arrive.
+void Gate::onHealth(HealthResult &&result, TimePoint now, Outbox<Output> &outbox)
+{
+    if (!m_health.onEnded(result.id, result.health.has_value())) {
+        ++m_counts.lateResults;
+        return;
+    }
+    // A response without the id of the server may come from another process at its address.
+    if (!result.health || m_server.value().empty() || result.health->server != m_server
+        || result.health->warmUpLeft.value_or(Duration::zero()) <= Duration::zero())
+        return;
+    const bool wasLimiting = m_coldStart.isLimiting();
+    m_coldStart.onHealth(*result.health->warmUpLeft, now);
+    if (!wasLimiting && m_coldStart.isLimiting())
+        reviewQueues(now, outbox);
+    outbox.emit(*std::move(result.health));
+}
+
 void Gate::onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox)
 {
     m_slots = std::max(1U, announced.slots);
@@ -280,6 +300,7 @@
         m_isBackendLeaving = false;
         m_serviceTimes = {};
         m_remainingWork.reset();
+        m_health.reset();
         m_processEndedAt = now;
         detectCrash(now, outbox);
         m_processEndedAt.reset(); // calls lost from now on ran in the new process
@@ -520,7 +541,8 @@
     if (!m_isReachable || !m_isAccepting || m_isEvacuated || m_isolatedCall
         || !m_coldStart.mayStart(now) || scheduleIsolated(now, outbox))
         return;
-    while (m_running.size() < m_slots && m_coldStart.mayStart(now)) {
+    askForHealth(now, outbox);
+    while (busySlots() < m_slots && m_coldStart.mayStart(now)) {
         std::optional<GateWork> work = nextWork(now);
         if (!work)
             break;
@@ -536,6 +558,20 @@
         (void)scheduleIsolated(now, outbox);
 }
 
+// A server that gets no more than it tolerates while it is cold need not be asked. Its requests
+// are also what makes this run, so it needs no timer.
+void Gate::askForHealth(TimePoint now, Outbox<Output> &outbox)
+{
+    if (!m_health.isDue(now) || busySlots() >= m_slots || !m_coldStart.exceedsColdRate()
+        || m_coldStart.policy()->healthPath.empty())
+        return;
+    const CallId id(m_nextCall++);
+    ++m_counts.healthCalls;
+    m_coldStart.onStarted(now);
+    m_health.onSent(id, now);
+    outbox.emit(HealthCall { id, m_coldStart.policy()->healthPath, m_health.timeout() });
+}
+
 // Starts the next suspect if no other call is running; otherwise holds the free slots until it can
 // start, for up to maxHold. Returns whether no other request may start now.
 bool Gate::scheduleIsolated(TimePoint now, Outbox<Output> &outbox)
@@ -658,7 +694,7 @@
     if (!m_suspectQueue.isEmpty() && !m_isolatedCall)
         consider(std::max(m_holdSince ? *m_holdSince + maxHold : m_nextIsolation, coldStart));
     if (m_coldStart.isLimiting() && m_isReachable && m_isAccepting && !m_isolatedCall
-        && (!m_holdSince || m_suspectQueue.isEmpty()) && m_running.size() < m_slots
+        && (!m_holdSince || m_suspectQueue.isEmpty()) && busySlots() < m_slots
         && !(m_queue.isEmpty() && m_lateQueue.isEmpty()))
         consider(coldStart);
     return earliest;
@@ -669,7 +705,7 @@
     // Slots that the rate of a cold server leaves idle count as taken, so that routers send it
     // fewer requests.
     const std::uint32_t usable = m_coldStart.usableSlots(m_slots, m_serviceTimes.overallMean());
-    const auto running = static_cast<std::uint32_t>(m_running.size());
+    const auto running = static_cast<std::uint32_t>(busySlots());
     const Duration queuedWork
         = m_queue.expectedWork() + m_lateQueue.expectedWork() + m_suspectQueue.expectedWork();
     return { std::max(running, std::min(m_slots, running + m_slots - usable)),
@@ -677,6 +713,11 @@
              m_remainingWork.expectedStart(m_slots, queued(), queuedWork) };
 }
 
+std::size_t Gate::busySlots() const noexcept
+{
+    return m_running.size() + (m_health.isWaiting() ? 1 : 0);
+}
+
 std::size_t Gate::queued() const noexcept
 {
     return m_queue.size() + m_lateQueue.size() + m_suspectQueue.size();
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -61,6 +61,7 @@
     Gate::Limits limits;
     limits.needsAnnouncement = true;
     limits.rejectsEarly = true;
+    limits.healthInterval = settings.healthInterval;
     limits.estimatesCost = settings.placement == PlacementKind::ExpectedCompletion;
     limits.queue.isFair = true;
     limits.queue.bytes = settings.memoryMb * bytesPerMb / queueMemoryDivisor;
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -110,6 +110,7 @@
              { "shed", counts.shed },
              { "egress_refused", counts.egressRefused },
              { "cold_refused", counts.coldRefused },
+             { "health_calls", counts.healthCalls },
              { "is_evacuated", gate.isEvacuated() },
              { "is_limited_by_cold_start", gate.isLimitedByColdStart() },
              { "late_results", counts.lateResults },
--- a/src/tree/sidecarsettings.cpp
+++ b/src/tree/sidecarsettings.cpp
@@ -52,6 +52,8 @@
     settings.backendServer.address = reader.address("address");
     settings.backendServer.service = ServiceName(reader.text("service"));
     settings.heartbeat = readMs(reader, "heartbeat-ms", settings.heartbeat);
+    if (reader.contains("health-check-ms"))
+        settings.healthInterval = readMs(reader, "health-check-ms", settings.heartbeat);
     reader.reportUnknown();
 }
 
--- a/tests/backendendpointtest.cpp
+++ b/tests/backendendpointtest.cpp
@@ -121,6 +121,28 @@
     std::unique_ptr<BackendEndpoint> endpoint;
 };
 
+// Guards against a health call that takes the connection of a request, or is never reported.
+TEST_CASE_METHOD(BackendEndpointFixture, "BackendEndpoint_healthCall_isReportedAnsweredOrNot")
+{
+    const auto healthOf = [this](const std::string &bytes) {
+        const RawServer server(bytes);
+        start(server.address());
+        endpoint->ring().push(HealthCall { CallId(3), "/health", std::chrono::seconds(5) });
+        while (auto event = events.pop(eventTimeout)) {
+            if (auto *result = std::get_if<HealthResult>(&*event)) {
+                endpoint->stop();
+                CHECK(result->id == CallId(3));
+                return result->health;
+            }
+        }
+        FAIL("the call did not end");
+        return std::optional<BackendHealth>();
+    };
+    CHECK(healthOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") == BackendHealth {});
+    CHECK_FALSE(healthOf("HTTP/1.1 200 OK\r\nContent-Le"));
+    CHECK_FALSE(healthOf("not HTTP\r\n\r\n"));
+}
+
 // Guards against a truncated response that is passed on to the client as complete.
 TEST_CASE_METHOD(BackendEndpointFixture, "BackendEndpoint_closedInsideBody_reportsPartialAnswer")
 {
--- a/tests/gatefixture.h
+++ b/tests/gatefixture.h
@@ -125,6 +125,8 @@
     std::vector<BackendCall> calls;
     std::vector<BackendCancel> cancels;
     std::vector<PeerSend> sent;
+    std::vector<HealthCall> healthCalls;
+    std::vector<BackendHealth> healths;
     int drainReports = 0;
 
 private:
@@ -138,6 +140,8 @@
                            [this](PeerSend &send) { sent.push_back(std::move(send)); },
                            [this](GateDrained &) { ++drainReports; },
                            [](GateDecision &) {},
+                           [this](HealthCall &call) { healthCalls.push_back(std::move(call)); },
+                           [this](BackendHealth &health) { healths.push_back(std::move(health)); },
                        },
                        output);
         }
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -185,15 +185,61 @@
     };
     using std::chrono::hours;
     using std::chrono::seconds;
-    CHECK(warmUpOf("3.0", "8.7") == WarmUpPolicy { seconds(3), WarmUpRate(8700) });
-    CHECK(warmUpOf("3", "0.0001") == WarmUpPolicy { seconds(3), WarmUpRate(1) });
-    CHECK(warmUpOf("3", "1e300") == WarmUpPolicy { seconds(3), WarmUpRate(1'000'000) });
+    const auto policy = [](Duration duration, WarmUpRate rate) {
+        return WarmUpPolicy { duration, rate, "/health" };
+    };
+    CHECK(warmUpOf("3.0", "8.7") == policy(seconds(3), WarmUpRate(8700)));
+    CHECK(warmUpOf("3", "0.0001") == policy(seconds(3), WarmUpRate(1)));
+    CHECK(warmUpOf("3", "1e300") == policy(seconds(3), WarmUpRate(1'000'000)));
     CHECK_FALSE(warmUpOf("3", "null"));
-    CHECK(warmUpOf("null", "2") == WarmUpPolicy { Duration::zero(), WarmUpRate(2000) });
+    CHECK(warmUpOf("null", "2") == policy(Duration::zero(), WarmUpRate(2000)));
     for (const char *rate : { "0", "-4", "\"fast\"", "[1]" })
-        CHECK(warmUpOf("3", rate) == WarmUpPolicy { seconds(3), WarmUpPolicy::safeRate });
+        CHECK(warmUpOf("3", rate) == policy(seconds(3), WarmUpPolicy::safeRate));
     for (const char *duration : { "-1", "1e18", "\"long\"" })
-        CHECK(warmUpOf(duration, "2") == WarmUpPolicy { hours(1), WarmUpRate(2000) });
+        CHECK(warmUpOf(duration, "2") == policy(hours(1), WarmUpRate(2000)));
+}
+
+// Guards against a path that cannot be sent, which would spoil the request or its connection.
+TEST_CASE_METHOD(PlatformFixture, "Platform_healthPathOfService_isReadWhereAColdServerIsLimited")
+{
+    const auto pathOf = [](const std::string &path) {
+        std::string body = configBody;
+        const std::string columns = R"("protocol","tls"])";
+        body.replace(body.find(columns), columns.size(), R"("protocol","tls","warmup_per_s"])");
+        const std::string row = R"("/health",110,"h1",false])";
+        body.replace(body.find(row), row.size(), path + R"(,110,"h1",false,2])");
+        const auto entries
+            = std::get<StoreEntries>(reply(StoreList { StoreKind::Configuration }, 200, body));
+        const auto config
+            = std::get<std::shared_ptr<const MeshConfig>>(entries.entries.at(0).value);
+        CHECK_FALSE(config->services.at(1).warmUp);
+        return config->services.at(0).warmUp.value().healthPath;
+    };
+    CHECK(pathOf(R"("/health")") == "/health");
+    for (const char *path : { "null", "7", R"("health")", R"("/a b")", R"("/a\r\nX: 1")", R"("")" })
+        CHECK(pathOf(path).empty());
+    CHECK(pathOf('"' + std::string(2000, '/') + '"').empty());
+}
+
+// Guards against a header that another writer filled, and against a warm-up without an end.
+TEST_CASE_METHOD(PlatformFixture, "Platform_healthResponse_statesServerAndWarmUp")
+{
+    const auto decode = [](const std::string &left) {
+        const HttpResponse response { 503,
+                                      { { "X-Camphorreach-Instance-Id", "i-1" },
+                                        { "x-camphorreach-warmup-remaining-ms", left } },
+                                      "" };
+        const BackendHealth health = platform::ServerDialect().decodeHealth(response);
+        CHECK(health.server == InstanceId("i-1"));
+        return health.warmUpLeft;
+    };
+    CHECK(decode("0") == Duration::zero());
+    CHECK(decode("2500") == std::chrono::milliseconds(2500));
+    CHECK(decode("0.5") == std::chrono::microseconds(500));
+    CHECK(decode("1e300") == std::chrono::hours(1));
+    for (const char *left : { "", "-1", "soon", "5 ", "nan", "inf", "0x10" })
+        CHECK_FALSE(decode(left));
+    CHECK(platform::ServerDialect().decodeHealth({ 200, {}, "" }) == BackendHealth {});
 }
 
 // Guards against an invalid object of another writer that prevents the node from reading the other
--- a/tests/scenario/simnode.h
+++ b/tests/scenario/simnode.h
@@ -83,6 +83,8 @@
     void dispatch(JoinPeers &&join);
     void dispatch(GateDrained &&) { }
     void dispatch(const GateDecision &) { }
+    void dispatch(const HealthCall &) { } // sent only for services with a warm-up
+    void dispatch(const BackendHealth &) { }
     void dispatch(const RouterDecision &) { }
 
     const NetAddress m_address;
--- a/tests/sidecarsettingstest.cpp
+++ b/tests/sidecarsettingstest.cpp
@@ -56,6 +56,16 @@
     CHECK(read.retries.window == std::chrono::seconds(10));
 }
 
+// Guards against health requests that nobody asked for: each takes a slot and is priced.
+TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_healthInterval_isReadWhereItIsStated")
+{
+    std::string text = settingsWith("", "");
+    CHECK_FALSE(valueOf(parseSidecarSettings(text, "node.toml")).healthInterval);
+    const std::string line = "service = \"orders\"\n";
+    text.insert(text.find(line) + line.size(), "health-check-ms = 400\n");
+    CHECK(valueOf(parseSidecarSettings(text, "node.toml")).healthInterval == milliseconds(400));
+}
+
 // Guards against a misspelt key or a number of another unit that is accepted silently.
 TEST_CASE_METHOD(SidecarSettingsFixture, "SidecarSettings_wrongValues_areAllReported")
 {
