Ask for evacuations in time when no watcher can be heard

Cause: a node that does not watch the store looks for itself when it hears nobody for 4 s, or when its copy is 6 s stale. When a cut separates nodes from all watchers of their failure domain, or the store refuses these, the nodes still hear each other, so an order given at that moment was in force only after 5.3 to 5.6 s, and the bound is 5 s.

Change: a node whose copy is half a second short of the bound lists the evacuation orders, and only these, staggered by rank. Catalog::Options has the bound. Deployments without evacuations make no further calls.

CatalogWorld has evacuations now: orders and removals in the store, and a check every 50 ms whether any node in touch serves without an order, or holds one that was taken back, later than the bound.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -58,7 +58,8 @@
 ///
 /// Evacuation orders are read and spread like the rollout orders. A node that starts publishes its
 /// first configuration only once it knows the evacuation orders, or has tried for long enough, so
-/// that it sends nothing to a failure domain that is evacuated.
+/// that it sends nothing to a failure domain that is evacuated. A node whose copy is so stale that
+/// an order could come too late lists the orders itself, and only these.
 class Catalog
 {
 public:
@@ -78,6 +79,9 @@
         /// With a value, proofs that the configuration is the newest one are kept young enough for
         /// keys to be withdrawn within this time.
         std::optional<Duration> revocation {};
+        /// Time within which an evacuation must be in force everywhere; used with
+        /// readsEvacuations.
+        Duration evacuationTime = std::chrono::seconds(5);
     };
 
     Catalog(Endpoint self, Options options, RandomSource &random);
@@ -184,6 +188,8 @@
     [[nodiscard]] std::optional<TimePoint> freshAsOf() const;
     [[nodiscard]] TimePoint takeoverTime() const;
     [[nodiscard]] bool isWatcher(TimePoint now) const;
+    [[nodiscard]] std::optional<TimePoint> evacuationCheckTime() const;
+    void checkEvacuations(TimePoint now);
     void updateWatch(TimePoint now);
     void emitCall(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox);
     void listOrWatch(Informer &informer, TimePoint now, Outbox<Output> &outbox);
@@ -208,6 +214,7 @@
     EvacuationTable m_evacuations;
     // Of the list being read; empty when none was begun.
     std::optional<StoreEntries> m_listedEvacuations;
+    TimePoint m_nextEvacuationCheck {}; // not sooner, however stale the copy is
     bool m_areEvacuationsKnown = false; // from the store or from a peer; never reset
     bool m_isSnapshotHeld = false; // until they are known, or snapshotReleaseTime()
     std::vector<NetAddress> m_listedNodes; // of the list being read; bounded
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -153,11 +153,13 @@
                usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(selfEndpoint(settings),
-                                    Catalog::Options { settings.retries.ratio,
-                                                       settings.evacuationTime.has_value(),
-                                                       settings.organisations.revocation },
-                                    m_catalogRandom),
+          std::make_unique<Catalog>(
+              selfEndpoint(settings),
+              Catalog::Options {
+                  settings.retries.ratio, settings.evacuationTime.has_value(),
+                  settings.organisations.revocation,
+                  settings.evacuationTime.value_or(Catalog::Options().evacuationTime) },
+              m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlCapacity,
           controlReserve),
       m_rollouts(
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -31,6 +31,10 @@
 // Nodes that take over from stale watchers start one after the other by rank, so that the changes
 // that the first one reads save the others the calls.
 constexpr Duration takeoverStagger = std::chrono::milliseconds(100);
+// An order must spread within this time after a stale node has asked the store for it.
+constexpr Duration evacuationMargin = std::chrono::milliseconds(500);
+// Minimum time between two such questions of one node.
+constexpr Duration evacuationCheckInterval = std::chrono::seconds(1);
 // Node lists serve only to find nodes that gossip has lost, so they may be infrequent and stale.
 constexpr Duration nodeListInterval = std::chrono::seconds(20);
 // Nodes that start together register within a second or two of each other.
@@ -95,6 +99,33 @@
     return m_spread.rank() < watchersPerDomain || now >= takeoverTime();
 }
 
+// The time at which a node that does not watch lists the evacuation orders, because an order may
+// have been given that its peers do not know either: they have lost all watchers, or the store
+// refuses these. Empty while it need not.
+std::optional<TimePoint> Catalog::evacuationCheckTime() const
+{
+    const Informer &informer = m_evacuationInformer;
+    if (!m_options.readsEvacuations || m_isWatching || informer.pendingCall || informer.nextCall)
+        return std::nullopt;
+    const TimePoint asOf
+        = std::max(freshAsOf(), informer.freshAsOf).value_or(m_startedAt.value_or(TimePoint {}));
+    const Duration stagger = takeoverStagger * static_cast<Duration::rep>(m_spread.rank());
+    return std::max(asOf + m_options.evacuationTime - evacuationMargin + stagger,
+                    m_nextEvacuationCheck);
+}
+
+// While the store fails, nodes ask less often the higher their rank, as in scheduleRetry().
+void Catalog::checkEvacuations(TimePoint now)
+{
+    const auto time = evacuationCheckTime();
+    if (!time || now < *time)
+        return;
+    const auto share = static_cast<Duration::rep>(1 + m_spread.rank() / watchersPerDomain);
+    m_nextEvacuationCheck = now + evacuationCheckInterval * share;
+    m_evacuationInformer.failures = 0;
+    m_evacuationInformer.nextCall = now;
+}
+
 // A watch from the last resource version would return every version that peers have already sent,
 // so a node that starts to watch after such changes lists first.
 void Catalog::updateWatch(TimePoint now)
@@ -448,6 +479,7 @@
     if (!m_startedAt)
         m_startedAt = now;
     updateWatch(now);
+    checkEvacuations(now);
     for (Informer *informer : informers()) {
         if (informer->pendingCall && now >= informer->pendingCall->overdueAt)
             onOverdue(*informer, now);
@@ -580,6 +612,8 @@
         next = std::min(next, takeoverTime());
     if (m_isSnapshotHeld)
         next = std::min(next, snapshotReleaseTime());
+    if (const auto check = evacuationCheckTime())
+        next = std::min(next, *check);
     if (const auto ask = m_proof.nextAsk())
         next = std::min(next, *ask);
     for (const Informer *informer :
--- a/tests/catalogworld.cpp
+++ b/tests/catalogworld.cpp
@@ -46,19 +46,21 @@
 
 CatalogWorld::CatalogWorld(Options options) : m_options(options)
 {
-    m_history.push_back({ ObjectVersion(10),
+    m_history.push_back({ m_revision,
                           std::make_shared<const MeshConfig>(
                               firstConfig(options.routes, options.revocation.has_value())),
                           m_events.now() });
     m_lastSeed = options.nodes;
     for (std::size_t i = 0; i < options.nodes; ++i) {
-        m_nodes.push_back(std::make_unique<Node>(endpointOf(i), i + 1, options.revocation));
-        m_nodes.back()->startedAt = m_events.now();
+        m_nodes.push_back(std::make_unique<Node>(endpointOf(i), i + 1, m_options));
+        m_nodes.back()->startedAt = m_nodes.back()->disturbedUntil = m_events.now();
     }
     for (std::size_t i = 0; i < options.nodes; ++i)
         deliver(i, EndpointsChanged { table() });
     if (options.revocation)
         checkKeys();
+    if (options.readsEvacuations)
+        checkEvacuations();
 }
 
 std::shared_ptr<const EndpointTable> CatalogWorld::table() const
@@ -75,15 +77,15 @@
                   [node](const PendingWatch &pending) { return pending.node == node; });
     const std::uint64_t timerId = m_nodes[node]->timerId + 1; // timers of the old process are void
     m_replaced.push_back(std::move(m_nodes[node])); // so that a new process has another address
-    m_nodes[node] = std::make_unique<Node>(endpointOf(node), ++m_lastSeed, m_options.revocation);
+    m_nodes[node] = std::make_unique<Node>(endpointOf(node), ++m_lastSeed, m_options);
     m_nodes[node]->timerId = timerId;
-    m_nodes[node]->startedAt = m_events.now();
+    m_nodes[node]->startedAt = m_nodes[node]->disturbedUntil = m_events.now();
     deliver(node, EndpointsChanged { table() });
 }
 
 void CatalogWorld::pause(std::size_t node, Duration span)
 {
-    m_nodes[node]->pausedUntil = m_events.now() + span;
+    m_nodes[node]->pausedUntil = m_nodes[node]->disturbedUntil = m_events.now() + span;
 }
 
 Endpoint CatalogWorld::endpointOf(std::size_t index) const
@@ -116,11 +118,78 @@
 
 void CatalogWorld::store(MeshConfig config)
 {
-    m_history.push_back({ next(m_history.back().object),
-                          std::make_shared<const MeshConfig>(std::move(config)), m_events.now() });
+    m_revision = next(m_revision);
+    m_history.push_back(
+        { m_revision, std::make_shared<const MeshConfig>(std::move(config)), m_events.now() });
     answerPendingWatches();
 }
 
+void CatalogWorld::evacuate(const FailureDomain &domain)
+{
+    storeOrder(domain, false);
+}
+
+void CatalogWorld::takeBack(const FailureDomain &domain)
+{
+    storeOrder(domain, true);
+}
+
+// The object of a removal has the version of its last change.
+void CatalogWorld::storeOrder(const FailureDomain &domain, bool isRemoved)
+{
+    m_revision = next(m_revision);
+    const ObjectVersion object = isRemoved ? m_orders.at(domain).object : m_revision;
+    m_orders[domain] = { object, isRemoved, m_events.now() };
+    StoreEntry event { domain.value(), object, isRemoved, {} };
+    if (!isRemoved)
+        event.value = EvacuationOrder { domain, object };
+    m_orderEvents.push_back(std::move(event));
+    m_orderRevisions.push_back(m_revision);
+    answerPendingWatches();
+}
+
+std::set<std::size_t> CatalogWorld::nodesEvacuating(const FailureDomain &domain) const
+{
+    std::set<std::size_t> result;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        const Node &node = *m_nodes[i];
+        if (node.isRunning && node.active && node.evacuated.contains(domain))
+            result.insert(i);
+    }
+    return result;
+}
+
+std::optional<Duration> CatalogWorld::maxStaleness() const
+{
+    std::optional<Duration> result = Duration::zero();
+    for (const auto &node : m_nodes) {
+        const auto staleness = node->catalog.staleness(m_events.now());
+        if (node->isRunning)
+            result = staleness && result ? std::max(result, staleness) : std::nullopt;
+    }
+    return result;
+}
+
+void CatalogWorld::checkEvacuations()
+{
+    const TimePoint now = m_events.now();
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        Node &node = *m_nodes[i];
+        if (m_silenced.contains(i))
+            node.disturbedUntil = now;
+        if (!node.isRunning || !node.active || now < node.disturbedUntil + touchTime)
+            continue;
+        for (const auto &[domain, order] : m_orders) {
+            if (now <= order.storedAt + evacuationBound)
+                continue;
+            const bool isHeld = node.evacuated.contains(domain);
+            m_lateEvacuations += !order.isRemoved && !isHeld ? 1 : 0;
+            m_lateReturns += order.isRemoved && isHeld ? 1 : 0;
+        }
+    }
+    m_events.scheduleAfter(milliseconds(50), [this] { checkEvacuations(); });
+}
+
 void CatalogWorld::withdrawKey()
 {
     MeshConfig config = *m_history.back().config;
@@ -252,6 +321,7 @@
                 [&](PeerSend &send) { onSend(index, std::move(send)); },
                 [&](SnapshotChanged &changed) { onSnapshot(index, std::move(changed.snapshot)); },
                 [&](ConfigurationProven &proof) { onProof(index, proof); },
+                [&](EvacuationsChanged &changed) { m_nodes[index]->evacuated = *changed.domains; },
                 [&](NewerConfigurationKnown &known) {
                     m_nodes[index]->identification.update(known, m_events.now());
                 },
@@ -325,7 +395,14 @@
     }
     m_listAndWatchCalls += list->kind != StoreKind::Nodes ? 1 : 0;
     StoreEntries entries;
-    entries.resourceVersion = m_history.back().object;
+    entries.resourceVersion = m_revision;
+    if (list->kind == StoreKind::Evacuations) {
+        for (const auto &[domain, order] : m_orders) {
+            if (!order.isRemoved)
+                entries.entries.push_back({ domain.value(), order.object, false,
+                                            EvacuationOrder { domain, order.object } });
+        }
+    }
     if (list->kind == StoreKind::Configuration) {
         configs = 1;
         entries.entries.push_back(
@@ -347,12 +424,23 @@
         reply(ended.node, ended.call, StoreEntries { {}, ended.watch.since, false }, 0);
 }
 
-StoreEntries CatalogWorld::entriesSince(ObjectVersion since, std::size_t &configs) const
+bool CatalogWorld::hasNewerThan(const StoreWatch &watch) const
+{
+    if (watch.kind == StoreKind::Evacuations)
+        return !m_orderRevisions.empty() && watch.since < m_orderRevisions.back();
+    return watch.kind == StoreKind::Configuration && watch.since < m_history.back().object;
+}
+
+StoreEntries CatalogWorld::entriesSince(const StoreWatch &watch, std::size_t &configs) const
 {
     StoreEntries entries;
-    entries.resourceVersion = m_history.back().object;
+    entries.resourceVersion = m_revision;
+    for (std::size_t i = 0; i < m_orderEvents.size(); ++i) {
+        if (watch.kind == StoreKind::Evacuations && m_orderRevisions[i] > watch.since)
+            entries.entries.push_back(m_orderEvents[i]);
+    }
     for (const StoredVersion &stored : m_history) {
-        if (stored.object <= since)
+        if (watch.kind != StoreKind::Configuration || stored.object <= watch.since)
             continue;
         ++configs;
         entries.entries.push_back({ "main", stored.object, false, stored.config });
@@ -364,15 +452,14 @@
 {
     std::vector<PendingWatch> due;
     std::erase_if(m_pendingWatches, [&](const PendingWatch &pending) {
-        const bool isDue = !pending.isLost && pending.watch.kind == StoreKind::Configuration
-            && pending.watch.since < m_history.back().object;
+        const bool isDue = !pending.isLost && hasNewerThan(pending.watch);
         if (isDue)
             due.push_back(pending);
         return isDue;
     });
     for (const PendingWatch &pending : due) {
         std::size_t configs = 0;
-        StoreEntries entries = entriesSince(pending.watch.since, configs);
+        StoreEntries entries = entriesSince(pending.watch, configs);
         reply(pending.node, pending.call, std::move(entries), configs);
     }
 }
--- a/tests/catalogworld.h
+++ b/tests/catalogworld.h
@@ -33,6 +33,8 @@
         /// With a value, the configuration has an organisation with the keys "old" and "kept", and
         /// withdrawn keys must stop working within this time.
         std::optional<Duration> revocation {};
+        bool readsEvacuations = false;
+        Duration evacuationTime = std::chrono::seconds(5);
     };
 
     explicit CatalogWorld(Options options);
@@ -60,6 +62,25 @@
     void withdrawKey();
     void addKey();
 
+    /// Stores an order to evacuate a failure domain, respectively removes it.
+    void evacuate(const FailureDomain &domain);
+    void takeBack(const FailureDomain &domain);
+
+    /// The running nodes that serve and hold the failure domain as evacuated.
+    [[nodiscard]] std::set<std::size_t> nodesEvacuating(const FailureDomain &domain) const;
+    [[nodiscard]] bool isServing(std::size_t node) const
+    {
+        return m_nodes[node]->isRunning && m_nodes[node]->active;
+    }
+    /// Moments at which a node that was in touch served and did not hold an order, more than
+    /// evacuationBound after it was stored, respectively held one that long after its removal.
+    /// Checked every 50 ms at every node. A node is in touch when for touchTime it has run without
+    /// a pause and the store has replied to it.
+    [[nodiscard]] std::size_t lateEvacuations() const noexcept { return m_lateEvacuations; }
+    [[nodiscard]] std::size_t lateReturns() const noexcept { return m_lateReturns; }
+    static constexpr Duration evacuationBound = std::chrono::seconds(5);
+    static constexpr Duration touchTime = std::chrono::seconds(3);
+
     /// What a node decides now about a request with a key.
     [[nodiscard]] Identification::Result identify(std::size_t node, const std::string &key);
     /// The same for a node that must identify the key.
@@ -69,6 +90,8 @@
     [[nodiscard]] std::size_t lateUses() const noexcept { return m_lateUses; }
     /// Proofs that did not hold: an older version than the proof names was in the store.
     [[nodiscard]] std::size_t wrongProofs() const noexcept { return m_wrongProofs; }
+    /// Maximum staleness of a running node now; empty while one does not know it.
+    [[nodiscard]] std::optional<Duration> maxStaleness() const;
     /// Maximum age of a proof of a running node since the last call of resetProofAge().
     [[nodiscard]] Duration maxProofAge() const noexcept { return m_maxProofAge; }
     void resetProofAge() noexcept { m_maxProofAge = {}; }
@@ -91,9 +114,12 @@
 
     struct Node
     {
-        Node(const Endpoint &self, std::uint64_t seed, std::optional<Duration> revocation)
-            : random(seed), catalog(self, { Share::fromFraction(0.1), false, revocation }, random),
-              identification(revocation)
+        Node(const Endpoint &self, std::uint64_t seed, const Options &options)
+            : random(seed), catalog(self,
+                                    { Share::fromFraction(0.1), options.readsEvacuations,
+                                      options.revocation, options.evacuationTime },
+                                    random),
+              identification(options.revocation)
         { }
 
         RandomSource random;
@@ -102,6 +128,8 @@
         Link up;
         Link down;
         std::shared_ptr<const Snapshot> active;
+        std::set<FailureDomain> evacuated;
+        TimePoint disturbedUntil {}; // not in touch until touchTime later
         bool isRunning = true;
         TimePoint pausedUntil {};
         TimePoint startedAt {};
@@ -115,6 +143,14 @@
         TimePoint storedAt {};
     };
 
+    // The last change of an order.
+    struct StoredOrder
+    {
+        ObjectVersion object;
+        bool isRemoved = false;
+        TimePoint storedAt {};
+    };
+
     struct PendingWatch
     {
         std::size_t node = 0;
@@ -127,14 +163,17 @@
     [[nodiscard]] Endpoint endpointOf(std::size_t index) const;
     [[nodiscard]] std::shared_ptr<const EndpointTable> table() const;
     void store(MeshConfig config);
+    void storeOrder(const FailureDomain &domain, bool isRemoved);
     void checkKeys();
+    void checkEvacuations();
     void deliver(std::size_t index, Catalog::Input input);
     void collect(std::size_t index, Outbox<Catalog::Output> &outbox);
     void scheduleTimer(std::size_t index);
     void onSend(std::size_t from, PeerSend &&send);
     void onCall(std::size_t index, const StoreCall &call);
     void reply(std::size_t index, StoreCallId call, StoreResult result, std::size_t configs);
-    [[nodiscard]] StoreEntries entriesSince(ObjectVersion since, std::size_t &configs) const;
+    [[nodiscard]] StoreEntries entriesSince(const StoreWatch &watch, std::size_t &configs) const;
+    [[nodiscard]] bool hasNewerThan(const StoreWatch &watch) const;
     void answerPendingWatches();
     void endWatch(std::uint64_t id);
     void loseReply(std::size_t index, StoreCallId call);
@@ -148,7 +187,11 @@
     std::vector<std::unique_ptr<Node>> m_replaced; // processes that were replaced
     Duration m_storeResponseTime {};
     std::set<std::size_t> m_silenced; // nodes whose calls get no reply
+    ObjectVersion m_revision { 10 }; // of the store
     std::vector<StoredVersion> m_history; // object versions increase
+    std::vector<StoreEntry> m_orderEvents;
+    std::vector<ObjectVersion> m_orderRevisions; // of the store, at each of m_orderEvents
+    std::map<FailureDomain, StoredOrder> m_orders;
     std::deque<PendingWatch> m_pendingWatches;
     std::uint64_t m_nextWatchId = 0;
     std::uint64_t m_peerBytes = 0;
@@ -158,6 +201,8 @@
     std::optional<TimePoint> m_withdrawnAt; // time at which the store acknowledged it
     std::size_t m_lateUses = 0;
     std::size_t m_wrongProofs = 0;
+    std::size_t m_lateEvacuations = 0;
+    std::size_t m_lateReturns = 0;
     Duration m_maxProofAge {};
     Duration m_maxDelay {}; // over the versions that have become active
 };
