Add a check of configurations before they are sent

Cause: `validate` finds only what nodes refuse, and only in settings trees. An operator learned of a route that never matches, of a setting without effect, or of a target latency beyond the deadline from requests that failed.

Change: `camphorreach check FILE` reads a settings tree or a mesh configuration in the platform's format. It prints errors (what nodes refuse, routes that can never match as the route table decides, missing services, contradicting times, attempts and limits, a version not above the one in force), warnings (entries without effect, useless keys, small bursts) and, with a second file, a node or the platform, what would change. Exit codes: 0 without errors, 1 with errors, 2 for bad usage, 4 when a service could not be reached. checkConfig(), changesBetween() and checkSuccession() decide without input and output; the command prints. A sidecar serves its configuration in force at /configuration, without the keys of organisations.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -92,6 +92,8 @@
 
     /// The active version; zero while there is none.
     [[nodiscard]] ConfigVersion version() const noexcept { return m_config.version(); }
+    /// The active configuration; without routes and with version zero while there is none.
+    [[nodiscard]] MeshConfig configuration() const { return m_config.config(); }
     /// Number of store calls that were refused or got no reply. Refusals because of lost history or
     /// an existing node record are not counted.
     [[nodiscard]] std::uint64_t failedCalls() const noexcept { return m_failedCalls; }
--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -47,6 +47,9 @@
     {
         P::announcementPrefix()
         } -> std::convertible_to<std::string>;
+    {
+        P::encodeConfiguration(MeshConfig())
+        } -> std::convertible_to<std::string>;
 };
 
 /// The functions of a mesh node that do not depend on the platform's dialect.
@@ -382,6 +385,16 @@
           [this, jsonType](const HttpRequest &) {
               return HttpResponse { 200, { jsonType }, dump() + "\n" };
           } },
+        { "/configuration",
+          [this, jsonType](const HttpRequest &) {
+              const MeshConfig config = m_catalog.inspect(
+                  [](const Catalog &catalog) { return catalog.configuration(); });
+              if (config.version == ConfigVersion())
+                  return HttpResponse { 503, {}, "no configuration\n" };
+              return HttpResponse { 200,
+                                    { jsonType },
+                                    Dialect::encodeConfiguration(config) + "\n" };
+          } },
         { "/metrics",
           [this, jsonType](const HttpRequest &) {
               return HttpResponse { 200, { jsonType }, metricsJson(m_metrics) + "\n" };
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::array commands {
     Command { "validate", "check a settings tree", cli::runValidate },
+    Command { "check", "check a configuration before it is sent", cli::runCheck },
     Command { "apply", "make a settings tree the next version", cli::runApply },
     Command { "diff", "compare two settings trees", cli::runDiff },
     Command { "show", "print the settings that apply at a path", cli::runShow },
--- a/src/cli/clicommands.h
+++ b/src/cli/clicommands.h
@@ -4,6 +4,7 @@
 namespace camphorreach::cli {
 
 int runValidate(int argc, char **argv);
+int runCheck(int argc, char **argv);
 int runApply(int argc, char **argv);
 int runDiff(int argc, char **argv);
 int runShow(int argc, char **argv);
--- a/tests/meshnodetest.cpp
+++ b/tests/meshnodetest.cpp
@@ -1,6 +1,7 @@
 // End-to-end tests on the users' platform: real nodes on loopback, with stand-ins for the store and
 // the backend servers.
 #include "../platform/announcements.h"
+#include "../platform/config.h"
 #include "../platform/names.h"
 #include "../platform/requests.h"
 #include "../platform/store.h"
@@ -47,6 +48,10 @@
     {
         return platform::decodeAnnouncement(request);
     }
+    static std::string encodeConfiguration(const MeshConfig &config)
+    {
+        return platform::encodeConfig(config);
+    }
     static const char *readyPath() { return platform::readyPath; }
     static const char *announcementPrefix() { return platform::instancesPath; }
 };
@@ -190,6 +195,21 @@
     CHECK(sendRequest(1, "POST", "/other/7").status == 404);
 }
 
+// Guards against a check that compares with something else than what the node has in force.
+TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_configurationAsked_isTheOneInForce")
+{
+    REQUIRE(announce(0, 1, "ready").status == 200);
+    (void)requestUntil(200, 1, "/bags/1");
+    const HttpResponse response
+        = call(sidecars[1]->settings.readyAddress, { "GET", "/configuration" });
+    REQUIRE(response.status == 200);
+    const auto decoded = platform::decodeConfigText(response.body, "node");
+    REQUIRE(isOk(decoded));
+    const RouteTable table(valueOf(decoded).config.routes);
+    CHECK(table.find("a.example", "/bags/1") != nullptr);
+    CHECK(table.find("a.example", "/other/7") == nullptr);
+}
+
 // Guards against requests from any node to a server that has announced that it is draining.
 TEST_CASE_METHOD(MeshNodeFixture, "MeshNode_serverDrains_otherServerGetsTheRequests")
 {
