--- a/include/camphorreach/impl/meshnode.h
+++ b/include/camphorreach/impl/meshnode.h
@@ -47,6 +47,9 @@
     {
         P::announcementPrefix()
         } -> std::convertible_to<std::string>;
+    {
+        P::encodeConfiguration(MeshConfig())
+        } -> std::convertible_to<std::string>;
 };
 
 /// The functions of a mesh node that do not depend on the platform's dialect.
@@ -155,11 +158,13 @@
                usableEgress(settings) },
              pathFilters(), pathHooks(), m_metrics),
       m_catalog(
-          std::make_unique<Catalog>(selfEndpoint(settings),
-                                    Catalog::Options { settings.retries.ratio,
-                                                       settings.evacuationTime.has_value(),
-                                                       settings.organisations.revocation },
-                                    m_catalogRandom),
+          std::make_unique<Catalog>(
+              selfEndpoint(settings),
+              Catalog::Options {
+                  settings.retries.ratio, settings.evacuationTime.has_value(),
+                  settings.organisations.revocation,
+                  settings.evacuationTime.value_or(Catalog::Options().evacuationTime) },
+              m_catalogRandom),
           [this](Catalog::Output &&output) { onCatalogOutput(std::move(output)); }, controlCapacity,
           controlReserve),
       m_rollouts(
@@ -206,6 +211,9 @@
         [this](bool isReachable) {
             m_log.info(isReachable ? "event=backend-reachable" : "event=backend-unreachable");
         },
+        [this](BackendHealth &&health) {
+            (void)m_localServer.ring().tryPush(std::move(health)); // the gate has applied it
+        },
     };
 }
 
@@ -389,6 +397,16 @@
           [this, jsonType](const HttpRequest &) {
               return HttpResponse { 200, { jsonType }, dump() + "\n" };
           } },
+        { "/configuration",
+          [this, jsonType](const HttpRequest &) {
+              const MeshConfig config = m_catalog.inspect(
+                  [](const Catalog &catalog) { return catalog.configuration(); });
+              if (config.version == ConfigVersion())
+                  return HttpResponse { 503, {}, "no configuration\n" };
+              return HttpResponse { 200,
+                                    { jsonType },
+                                    Dialect::encodeConfiguration(config) + "\n" };
+          } },
         { "/metrics",
           [this, jsonType](const HttpRequest &) {
               return HttpResponse { 200, { jsonType }, metricsJson(m_metrics) + "\n" };
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -62,6 +62,7 @@
     limits.needsAnnouncement = true;
     limits.rejectsEarly = true;
     limits.asksForQuarantines = true;
+    limits.healthInterval = settings.healthInterval;
     limits.estimatesCost = settings.placement == PlacementKind::ExpectedCompletion;
     limits.queue.isFair = true;
     limits.queue.bytes = settings.memoryMb * bytesPerMb / queueMemoryDivisor;
