Take a rollout order back when it is removed from the store

Cause: a removal in a watch had no value and was skipped, and a list only added orders, so an order that the operator removed stayed in force at every node.

Change: rollout orders are kept in the table that evacuation orders had (OrderTable, now a template): a removed order stays as one that was taken back, with the revision at which it was gone, spreads to peers like any other, and an older message does not renew it. A whole, readable list takes back what is not in it; its pages are applied together. Rollouts drops share and ban of such an order.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -6,11 +6,12 @@
 #include <camphorreach/configproof.h>
 #include <camphorreach/departedrun.h>
 #include <camphorreach/endpointtable.h>
-#include <camphorreach/evacuation.h>
+#include <camphorreach/evacuationtable.h>
 #include <camphorreach/filter.h>
 #include <camphorreach/finding.h>
 #include <camphorreach/joincandidates.h>
 #include <camphorreach/membership.h>
+#include <camphorreach/ordertable.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/random.h>
 #include <camphorreach/snapshot.h>
@@ -19,7 +20,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -137,8 +137,10 @@
     void writeRecord(Outbox<Output> &outbox);
     void onEntries(Informer &informer, const PendingCall &call, StoreEntries &entries,
                    TimePoint now, Outbox<Output> &outbox);
-    [[nodiscard]] bool applyEvacuations(Read read, const StoreEntries &entries, bool hasMore,
-                                        Outbox<Output> &outbox);
+    template <typename Order>
+    [[nodiscard]] static bool applyEntries(OrderTable<Order> &orders,
+                                           std::optional<StoreEntries> &listed, Read read,
+                                           const StoreEntries &entries, bool hasMore);
     void publishEvacuations(bool haveChanged, Outbox<Output> &outbox);
     void recordProof(const PendingCall &call, ObjectVersion resourceVersion, ConfigVersion newest,
                      TimePoint now);
@@ -162,7 +164,6 @@
     bool apply(const MeshConfig &config, TimePoint now, Outbox<Output> &outbox);
     bool apply(const NetAddress &from, const ConfigDelta &delta, TimePoint now,
                Outbox<Output> &outbox);
-    [[nodiscard]] bool apply(const RolloutOrder &order);
     void emitSnapshot(Outbox<Output> &outbox);
     void releaseSnapshot(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] TimePoint snapshotReleaseTime() const;
@@ -191,7 +192,6 @@
     void listOrWatch(Informer &informer, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] CatalogVersions heldVersions() const;
     [[nodiscard]] CatalogDigest ownDigest(TimePoint now) const;
-    [[nodiscard]] std::vector<RolloutOrder> ordersSince(ObjectVersion version) const;
     void scheduleRetry(Informer &informer, TimePoint now);
     [[nodiscard]] bool isDue(const Informer &informer, TimePoint now) const;
     [[nodiscard]] Duration watchWait(StoreKind kind);
@@ -201,14 +201,15 @@
     const Options m_options;
     RandomSource &m_random;
     VersionedConfig m_config;
-    std::map<ServiceName, RolloutOrder> m_orders; // object versions never decrease
+    OrderTable<RolloutOrder> m_orders;
     CatalogSpread m_spread;
     Informer m_configInformer { StoreKind::Configuration };
     Informer m_rolloutInformer { StoreKind::Rollouts };
     Informer m_nodeInformer { StoreKind::Nodes };
     Informer m_evacuationInformer { StoreKind::Evacuations }; // unused without readsEvacuations
     EvacuationTable m_evacuations;
-    // Of the list being read; empty when none was begun.
+    // Of the lists being read; empty when none was begun.
+    std::optional<StoreEntries> m_listedOrders;
     std::optional<StoreEntries> m_listedEvacuations;
     bool m_areEvacuationsKnown = false; // from the store or from a peer; never reset
     bool m_isSnapshotHeld = false; // until they are known, or snapshotReleaseTime()
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -161,7 +161,9 @@
         return;
     }
     // The pages before it were dropped when the call was overdue.
-    if (informer.kind == StoreKind::Evacuations && call.read == Read::NextPage)
+    const bool needsAllPages
+        = informer.kind == StoreKind::Rollouts || informer.kind == StoreKind::Evacuations;
+    if (needsAllPages && call.read == Read::NextPage)
         return;
     informer.pendingCall.reset();
     informer.overdueCalls.clear();
@@ -235,7 +237,6 @@
                         TimePoint now, Outbox<Output> &outbox)
 {
     informer.failures = 0;
-    bool haveOrdersChanged = false;
     bool isEveryConfigAccepted = true; // and readable, up to the newest one
     ConfigVersion newestSeen;
     std::size_t configs = 0;
@@ -252,8 +253,6 @@
                 newest = std::move(*config);
         } else if (informer.kind == StoreKind::Configuration && isUnreadableConfiguration(entry)) {
             isEveryConfigAccepted = false;
-        } else if (const auto *order = std::get_if<RolloutOrder>(&entry.value)) {
-            haveOrdersChanged = apply(*order) || haveOrdersChanged;
         } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
             m_joinCandidates.add(node->peer);
         }
@@ -274,8 +273,12 @@
         onNodesListed(informer, now);
     else if (!hasMore)
         onLastPage(informer, entries.resourceVersion, configs, isNewer, now);
+    const bool haveOrdersChanged = informer.kind == StoreKind::Rollouts
+        && applyEntries(m_orders, m_listedOrders, call.read, entries, hasMore);
     const bool haveEvacuationsChanged = informer.kind == StoreKind::Evacuations
-        && applyEvacuations(call.read, entries, hasMore, outbox);
+        && applyEntries(m_evacuations, m_listedEvacuations, call.read, entries, hasMore);
+    if (informer.kind == StoreKind::Evacuations && (call.read == Read::Watch || !hasMore))
+        publishEvacuations(haveEvacuationsChanged, outbox);
     if (!isEveryConfigAccepted && informer.nextCall && m_proof.isStrict()) {
         // A watch from here on would prove nothing about what could not be read.
         informer.resourceVersion.reset();
@@ -286,24 +289,19 @@
 }
 
 // A list is applied as a whole, as of its first page: what is not in it was taken back.
-bool Catalog::applyEvacuations(Read read, const StoreEntries &entries, bool hasMore,
-                               Outbox<Output> &outbox)
-{
-    bool haveChanged = false;
-    if (read == Read::Watch) {
-        haveChanged = m_evacuations.applyEvents(entries.entries, entries.resourceVersion);
-    } else {
-        if (read == Read::List || !m_listedEvacuations)
-            m_listedEvacuations = StoreEntries { {}, entries.resourceVersion };
-        auto &listed = m_listedEvacuations->entries;
-        listed.insert(listed.end(), entries.entries.begin(), entries.entries.end());
-        if (hasMore)
-            return false;
-        const StoreEntries list = *std::exchange(m_listedEvacuations, std::nullopt);
-        haveChanged = m_evacuations.applyList(list.entries, list.resourceVersion);
-    }
-    publishEvacuations(haveChanged, outbox);
-    return haveChanged;
+template <typename Order>
+bool Catalog::applyEntries(OrderTable<Order> &orders, std::optional<StoreEntries> &listed,
+                           Read read, const StoreEntries &entries, bool hasMore)
+{
+    if (read == Read::Watch)
+        return orders.applyEvents(entries.entries, entries.resourceVersion);
+    if (read == Read::List || !listed)
+        listed = StoreEntries { {}, entries.resourceVersion };
+    listed->entries.insert(listed->entries.end(), entries.entries.begin(), entries.entries.end());
+    if (hasMore)
+        return false;
+    const StoreEntries list = *std::exchange(listed, std::nullopt);
+    return orders.applyList(list.entries, list.resourceVersion);
 }
 
 void Catalog::publishEvacuations(bool haveChanged, Outbox<Output> &outbox)
@@ -412,6 +410,8 @@
     informer.cursor.clear();
     if (informer.kind == StoreKind::Nodes)
         m_joinCandidates.restartList();
+    else if (informer.kind == StoreKind::Rollouts)
+        m_listedOrders.reset();
     else if (informer.kind == StoreKind::Evacuations)
         m_listedEvacuations.reset();
 }
@@ -445,15 +445,6 @@
         SnapshotChanged { snapshotOf(m_config.config(), m_options.retryBudget, m_keySeed) });
 }
 
-bool Catalog::apply(const RolloutOrder &order)
-{
-    const auto found = m_orders.find(order.service);
-    if (found != m_orders.end() && order.version <= found->second.version)
-        return false;
-    m_orders.insert_or_assign(order.service, order);
-    return true;
-}
-
 void Catalog::advance(TimePoint now, Outbox<Output> &outbox)
 {
     if (!m_startedAt)
@@ -565,20 +556,7 @@
 
 CatalogVersions Catalog::heldVersions() const
 {
-    CatalogVersions result { version(), {}, m_evacuations.version() };
-    for (const auto &[service, order] : m_orders)
-        result.orders = std::max(result.orders, order.version);
-    return result;
-}
-
-std::vector<RolloutOrder> Catalog::ordersSince(ObjectVersion version) const
-{
-    std::vector<RolloutOrder> result;
-    for (const auto &[service, order] : m_orders) {
-        if (order.version > version)
-            result.push_back(order);
-    }
-    return result;
+    return { version(), m_orders.version().value_or(ObjectVersion()), m_evacuations.version() };
 }
 
 Duration Catalog::retryDelay(std::uint32_t failures)
--- a/src/filters/configuration/catalogexchange.cpp
+++ b/src/filters/configuration/catalogexchange.cpp
@@ -79,7 +79,7 @@
     const CatalogVersions own = heldVersions();
     if (request.versions.isBehind(own)) {
         const CatalogDigest digest = ownDigest(now);
-        CatalogUpdate update { own, std::nullopt, ordersSince(request.versions.orders),
+        CatalogUpdate update { own, std::nullopt, m_orders.since(request.versions.orders),
                                digest.staleness,
                                m_evacuations.since(request.versions.evacuations) };
         if (request.versions.config < own.config)
@@ -106,7 +106,7 @@
     publishEvacuations(haveEvacuationsChanged, outbox);
     bool haveOrdersChanged = false;
     for (const RolloutOrder &order : update.orders)
-        haveOrdersChanged = apply(order) || haveOrdersChanged;
+        haveOrdersChanged = m_orders.apply(order) || haveOrdersChanged;
     const bool hasConfigChanged = update.config && apply(from, *update.config, now, outbox);
     m_configInformer.isSuperseded = m_configInformer.isSuperseded || hasConfigChanged;
     m_rolloutInformer.isSuperseded = m_rolloutInformer.isSuperseded || haveOrdersChanged;
@@ -188,7 +188,7 @@
                              Outbox<Output> &outbox)
 {
     if (haveOrdersChanged)
-        outbox.emit(OrdersChanged { ordersSince({}) });
+        outbox.emit(OrdersChanged { m_orders.since({}) });
     CatalogSpread::Sends sends;
     if (hasOtherChanged || haveOrdersChanged)
         m_spread.pushDigest(ownDigest(now), sends);
--- a/src/filters/moves/rollouts.cpp
+++ b/src/filters/moves/rollouts.cpp
@@ -57,6 +57,11 @@
 void Rollouts::onOrder(const RolloutOrder &order, TimePoint now)
 {
     const auto rollout = m_rollouts.find(order.service);
+    if (order.isTakenBack()) {
+        m_hasChanged = m_rollouts.erase(order.service) > 0 || m_hasChanged;
+        m_hasChanged = m_ended.erase(order.service) > 0 || m_hasChanged;
+        return;
+    }
     const bool hasEnded
         = order.state == RolloutState::Completed || order.state == RolloutState::RolledBack;
     if (hasEnded) {
--- a/tests/evacuationtest.cpp
+++ b/tests/evacuationtest.cpp
@@ -4,7 +4,7 @@
 #include "../platform/store.h"
 
 #include <camphorreach/catalog.h>
-#include <camphorreach/evacuation.h>
+#include <camphorreach/evacuationtable.h>
 #include <camphorreach/impl/wire.h>
 #include <camphorreach/meshconfig.h>
 #include <camphorreach/router.h>
--- a/tests/rolloutstest.cpp
+++ b/tests/rolloutstest.cpp
@@ -319,6 +319,34 @@
     CHECK(nodes[3]->shareOf(order.service) == RolloutPolicy {}.trialShare);
 }
 
+// Guards against a rollout that goes on, or a ban that stays, after its order was removed.
+TEST_CASE_METHOD(RolloutsFixture, "Rollouts_orderTakenBack_shareAndBanEnd")
+{
+    const auto takeBack = [this] {
+        order.state = RolloutState::TakenBack;
+        order.version = next(order.version);
+        publishOrder();
+    };
+    SECTION("under way")
+    {
+        run(ramp / 2, neverFails);
+        REQUIRE(nodes[3]->shareOf(order.service));
+        takeBack();
+        CHECK_FALSE(nodes[3]->shareOf(order.service));
+        const auto before = writers;
+        run(ramp, neverFails);
+        CHECK(order.state == RolloutState::TakenBack);
+        CHECK(writers == before);
+    }
+    SECTION("rolled back")
+    {
+        run(ramp, failsHalf);
+        REQUIRE(nodes[3]->isBanned(order.service));
+        takeBack();
+        CHECK_FALSE(nodes[3]->isBanned(order.service));
+    }
+}
+
 // Guards against a verdict that is lost when the process restarts.
 TEST_CASE_METHOD(RolloutsFixture, "Rollouts_nodeRestartsAfterVerdict_bansVersionFromStore")
 {
