--- a/tests/gatesharestest.cpp
+++ b/tests/gatesharestest.cpp
@@ -63,15 +63,15 @@
         limits.needsAnnouncement = true;
         limits.rejectsEarly = true;
         limits.queue.isFair = true;
-        gate = std::make_unique<Runner<Gate>>(
-            loop, [this](Gate::Output &&output) { onOutput(output); }, limits,
-            ServiceName("orders"), NetAddress { "127.0.0.1", 1 }, random);
-        gate->process(BackendAnnounced {
+        m_gate = std::make_unique<Runner<Gate>>(
+            m_loop, [this](Gate::Output &&output) { onOutput(output); }, limits,
+            ServiceName("orders"), NetAddress { "127.0.0.1", 1 }, m_random);
+        m_gate->process(BackendAnnounced {
             InstanceId("i-1"), ServiceName("orders"), BackendVersion("v1"), slots, true, {} });
     }
 
     // Poisson arrivals from all of them; the first three seconds are not counted.
-    void replay(std::vector<Source> sources, Duration time)
+    void replay(const std::vector<Source> &sources, Duration time)
     {
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->version = ConfigVersion(1);
@@ -79,15 +79,18 @@
             if (!source.organisation.empty())
                 snapshot->organisations.push_back({ OrganisationName(source.organisation), {} });
         }
-        gate->process(SnapshotChanged { snapshot });
-        countsFrom = loop.now() + seconds(3);
-        const TimePoint end = countsFrom + time;
+        m_gate->process(SnapshotChanged { snapshot });
+        m_countsFrom = m_loop.now() + seconds(3);
+        const TimePoint end = m_countsFrom + time;
         for (const Source &source : sources)
             generate(source, end);
-        loop.runUntil(end + seconds(2));
+        m_loop.runUntil(end + seconds(2));
     }
 
-    [[nodiscard]] const Tally &of(const std::string &organisation) { return tallies[organisation]; }
+    [[nodiscard]] const Tally &of(const std::string &organisation)
+    {
+        return m_tallies[organisation];
+    }
 
 private:
     struct Client
@@ -100,50 +103,50 @@
 
     void generate(const Source &source, TimePoint end)
     {
-        if (loop.now() >= end)
+        if (m_loop.now() >= end)
             return;
-        Client client { source, loop.now() };
-        client.isCounted = loop.now() >= countsFrom;
-        tallies[source.organisation].offered += client.isCounted ? 1 : 0;
+        Client client { source, m_loop.now() };
+        client.isCounted = m_loop.now() >= m_countsFrom;
+        m_tallies[source.organisation].offered += client.isCounted ? 1 : 0;
         send(client);
-        const double gap = -std::log(1.0 - uniformFraction(random)) / source.rate;
-        loop.after(scaled(seconds(1), gap), [this, source, end] { generate(source, end); });
+        const double gap = -std::log(1.0 - uniformFraction(m_random)) / source.rate;
+        m_loop.after(scaled(seconds(1), gap), [this, source, end] { generate(source, end); });
     }
 
     void send(const Client &client)
     {
-        const Duration passed = loop.now() - client.first;
+        const Duration passed = m_loop.now() - client.first;
         ForwardRequest request;
-        request.id = RequestId(++lastId);
+        request.id = RequestId(++m_lastId);
         request.service = ServiceName("orders");
         request.version = BackendVersion("v1");
         request.route = RouteName(client.source.route);
         request.isIdempotent = true;
         request.budget = milliseconds(1500) - passed;
         request.targetBudget = client.source.target; // entry nodes do not know the first attempt
-        request.content = { "GET", "/", "", std::to_string(lastId) };
+        request.content = { "GET", "/", "", std::to_string(m_lastId) };
         request.organisation = OrganisationName(client.source.organisation);
-        clients.emplace(request.id, client);
-        gate->process(ForwardReceived { LinkId(1), std::move(request) });
+        m_clients.emplace(request.id, client);
+        m_gate->process(ForwardReceived { LinkId(1), std::move(request) });
     }
 
     void onOutput(Gate::Output &output)
     {
         if (const auto *call = std::get_if<BackendCall>(&output)) {
-            const Client &client = clients.at(call->request.id);
-            tallies[client.source.organisation].started += client.isCounted ? 1 : 0;
-            loop.after(scaled(client.source.serviceTime, 0.5 + uniformFraction(random)),
-                       [this, id = call->id] {
-                           gate->process(BackendResult { id, Answered {} });
-                       });
+            const Client &client = m_clients.at(call->request.id);
+            m_tallies[client.source.organisation].started += client.isCounted ? 1 : 0;
+            m_loop.after(scaled(client.source.serviceTime, 0.5 + uniformFraction(m_random)),
+                         [this, id = call->id] {
+                             m_gate->process(BackendResult { id, Answered {} });
+                         });
         } else if (const auto *reply = std::get_if<ForwardReply>(&output)) {
-            const auto found = clients.find(reply->answer.id);
+            const auto found = m_clients.find(reply->answer.id);
             Client client = found->second;
-            clients.erase(found);
+            m_clients.erase(found);
             if (const auto *notRun = std::get_if<NotRun>(&reply->answer.outcome))
                 comeBack(client, notRun->retryAfter);
-            else if (client.isCounted && loop.now() - client.first <= client.source.target)
-                ++tallies[client.source.organisation].inTime;
+            else if (client.isCounted && m_loop.now() - client.first <= client.source.target)
+                ++m_tallies[client.source.organisation].inTime;
         }
     }
 
@@ -155,19 +158,19 @@
             : std::max<Duration>(milliseconds(60), retryAfter);
         const std::uint32_t maxAttempts = client.source.repeatsAtOnce ? 51 : 3;
         if (client.attempts >= maxAttempts
-            || loop.now() + pause - client.first >= milliseconds(1400))
+            || m_loop.now() + pause - client.first >= milliseconds(1400))
             return;
         ++client.attempts;
-        loop.after(pause, [this, client] { send(client); });
+        m_loop.after(pause, [this, client] { send(client); });
     }
 
-    EventLoop loop;
-    RandomSource random { 5 };
-    std::unique_ptr<Runner<Gate>> gate;
-    std::map<std::string, Tally> tallies; // by organisation
-    std::map<RequestId, Client> clients;
-    TimePoint countsFrom {};
-    std::uint64_t lastId = 0;
+    EventLoop m_loop;
+    RandomSource m_random { 5 };
+    std::unique_ptr<Runner<Gate>> m_gate;
+    std::map<std::string, Tally> m_tallies; // by organisation
+    std::map<RequestId, Client> m_clients;
+    TimePoint m_countsFrom {};
+    std::uint64_t m_lastId = 0;
 };
 
 class GateSharesFixture
