--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -73,6 +73,17 @@
     CHECK(request.caller == ServiceName()); // the node sets it and ignores what the client sent
 }
 
+// Guards against hop-by-hop fields that reach the backend server because another Connection field,
+// or one with blanks before its commas, names them.
+TEST_CASE_METHOD(PlatformFixture, "Platform_severalConnectionFields_fieldsThatTheyNameAreStripped")
+{
+    HttpRequest http = clientRequest();
+    http.headers.push_back({ "Connection", "X-Blank , x-second" });
+    http.headers.push_back({ "X-Blank", "1" });
+    http.headers.push_back({ "X-Second", "1" });
+    CHECK(decodeRequest(http).content.headers == HeaderFields { { "Accept", "*/*" } });
+}
+
 TEST_CASE_METHOD(PlatformFixture, "Platform_callToBackendServer_carriesFieldsOfTheNode")
 {
     BackendCall call;
