Take decisions out of the gate into classes with their own state

gate.cpp had grown to 794 lines, and one class held the state of admission, crash detection, isolated runs, queues and announcements. Callers see no change: inputs, outputs and messages are the same.

- GateQueues: the timely, late and suspect requests, and which runs next.
- BackendState: what was announced or observed of the backend server, and which requests it accepts.
- CompletionEstimate: whether an answer would be in time, from service times and bandwidth.
- CrashDetector: which lost calls are a crash.
The start of a lost call was stored but never read, and is gone.
- IsolationSchedule: when a suspect runs alone, its hold and its pause.
- ResultStore::appliesTo: which requests have stored outcomes.
- gateadmission.cpp: the gate's admission; gate.cpp keeps dispatch, results and load reports, 464 lines.

An answered isolated suspect was cleared twice in a row; the second call had no effect and is gone.

--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -1,15 +1,18 @@
 // Gate: admission control in front of the node's own backend server.
 #pragma once
 
+#include <camphorreach/backendstate.h>
 #include <camphorreach/coldstart.h>
+#include <camphorreach/completionestimate.h>
 #include <camphorreach/crashcontainment.h>
+#include <camphorreach/crashdetector.h>
 #include <camphorreach/decision.h>
-#include <camphorreach/egressbudget.h>
 #include <camphorreach/endpointtable.h>
 #include <camphorreach/evacuation.h>
 #include <camphorreach/filter.h>
-#include <camphorreach/gatequeue.h>
+#include <camphorreach/gatequeues.h>
 #include <camphorreach/healthmonitor.h>
+#include <camphorreach/isolationschedule.h>
 #include <camphorreach/organisationshares.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/quarantinespread.h>
@@ -17,15 +20,12 @@
 #include <camphorreach/remainingwork.h>
 #include <camphorreach/request.h>
 #include <camphorreach/resultstore.h>
-#include <camphorreach/servicetimes.h>
 #include <camphorreach/snapshot.h>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <variant>
 #include <vector>
 
@@ -100,16 +100,16 @@
 
     [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
     [[nodiscard]] GateLoad load() const noexcept;
-    [[nodiscard]] bool isEvacuated() const noexcept { return m_isEvacuated; }
+    [[nodiscard]] bool isEvacuated() const noexcept { return m_backend.isEvacuated(); }
     /// Whether the backend server is cold and its requests are limited for that.
     [[nodiscard]] bool isLimitedByColdStart() const noexcept { return m_coldStart.isLimiting(); }
     [[nodiscard]] const RemainingWork &remainingWork() const noexcept { return m_remainingWork; }
-    [[nodiscard]] bool isReachable() const noexcept { return m_isReachable; }
+    [[nodiscard]] bool isReachable() const noexcept { return m_backend.isReachable(); }
     [[nodiscard]] const CrashContainment &containment() const noexcept { return m_containment; }
     [[nodiscard]] const ResultStore &results() const noexcept { return m_results; }
     /// True when nothing is queued or running.
     [[nodiscard]] bool isIdle() const noexcept;
-    [[nodiscard]] bool isBackendLeaving() const noexcept { return m_isBackendLeaving; }
+    [[nodiscard]] bool isBackendLeaving() const noexcept { return m_backend.isLeaving(); }
     /// True once a drain was requested and all requests have been answered.
     [[nodiscard]] bool isDrained() const noexcept;
 
@@ -123,15 +123,6 @@
     };
     using Calls = std::map<CallId, Call>;
 
-    // A call whose connection ended before the complete response arrived.
-    struct LostCall
-    {
-        Digest fingerprint;
-        TimePoint started {};
-        TimePoint time {};
-        bool wasIsolated = false; // no other call was in flight
-    };
-
     void onReceived(ForwardReceived &&received, TimePoint now, Outbox<Output> &outbox);
     void admit(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
     void enqueue(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
@@ -139,15 +130,10 @@
     void cancelCalls(LinkId link, std::optional<RequestId> id, Outbox<Output> &outbox);
     void onResult(BackendResult &&result, TimePoint now, Outbox<Output> &outbox);
     void onHealth(HealthResult &&result, TimePoint now, Outbox<Output> &outbox);
-    void onAnnounced(BackendAnnounced &&announced, TimePoint now, Outbox<Output> &outbox);
+    void onAnnounced(const BackendAnnounced &announced, TimePoint now, Outbox<Output> &outbox);
     void updateWarmUpPolicy(TimePoint now);
     void reviewQueues(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
-    [[nodiscard]] Duration egressWait(const GateWork &work, Duration wait, TimePoint now) const;
-    [[nodiscard]] Duration minTimeLeft(const RouteName &route) const;
-    [[nodiscard]] bool missesTarget(const GateWork &work, Duration wait, TimePoint now) const;
-    [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
-    [[nodiscard]] std::optional<GateWork> nextWork(TimePoint now);
     [[nodiscard]] NotRun overloaded(Duration wait);
     [[nodiscard]] Duration expectedWait(const GateWork &work, TimePoint now) const;
     [[nodiscard]] Duration waitBehind(std::size_t before, TimePoint now) const;
@@ -155,9 +141,7 @@
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineNotice &notice, TimePoint now, Outbox<Output> &outbox);
 
-    void onCallLost(const Call &call, bool wasIsolated, TimePoint now, Outbox<Output> &outbox);
     void detectCrash(TimePoint now, Outbox<Output> &outbox);
-    void endIsolation(const Call &call, bool hasAnswered, TimePoint now, Outbox<Output> &outbox);
     void refuseQuarantined(Digest fingerprint, TimePoint now, Outbox<Output> &outbox);
     static void emitAll(std::vector<PeerSend> &&notices, Outbox<Output> &outbox);
 
@@ -165,14 +149,8 @@
     void askForHealth(TimePoint now, Outbox<Output> &outbox);
     // Slots that calls and the health request occupy.
     [[nodiscard]] std::size_t busySlots() const noexcept;
-    // Calls \a take on each queue, in the order in which the queues are served, and joins the
-    // results.
-    template <typename Take>
-    [[nodiscard]] std::vector<GateWork> takeFromQueues(Take take);
-    [[nodiscard]] std::size_t queued() const noexcept;
     [[nodiscard]] bool scheduleIsolated(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool start(GateWork &&work, TimePoint now, Outbox<Output> &outbox);
-    [[nodiscard]] bool canFinish(const GateWork &work, TimePoint now);
 
     void reportIfDrained(Outbox<Output> &outbox);
     void refuse(const GateWork &work, NotRunReason reason, TimePoint now, Outbox<Output> &outbox);
@@ -184,39 +162,23 @@
     void reply(const GateWork &work, Outcome outcome, bool isCrashSuspect, Outbox<Output> &outbox);
 
     const Limits m_limits;
-    std::uint32_t m_slots; // as announced; until then from the limits
-    ServiceName m_service;
-    BackendVersion m_version; // empty until announced
-    InstanceId m_server; // empty until announced
-    bool m_isAccepting; // as announced
+    BackendState m_backend;
     QuarantineSpread m_spread;
     OrganisationShares m_shares;
-    GateQueue m_queue;
-    GateQueue m_lateQueue; // requests that will miss their target; run when m_queue is empty
-    GateQueue m_suspectQueue; // suspects, which run one at a time with no other call in flight
+    GateQueues m_queues;
     ResultStore m_results;
     CrashContainment m_containment;
-    ServiceTimes m_serviceTimes;
+    CrashDetector m_crashDetector;
+    IsolationSchedule m_isolation;
+    CompletionEstimate m_completion;
     RemainingWork m_remainingWork;
-    EgressBudget m_egress;
     std::shared_ptr<const Snapshot> m_snapshot; // null before the first configuration
     ColdStartLimiter m_coldStart;
     HealthMonitor m_health;
-    std::vector<GateWork> m_shed; // shed by nextWork(), to be refused; empty between inputs
-    Calls m_running; // at most m_slots when a call starts; only one while m_isolatedCall is set
-    std::optional<CallId> m_isolatedCall; // call of the suspect that runs in isolation
-    std::optional<TimePoint> m_holdSince; // since when slots are held free for a suspect
-    TimePoint m_nextIsolation {}; // earliest start of the next suspect
-    std::deque<LostCall> m_lostCalls; // not yet part of a declared crash; at most maxLostCalls
-    // When the process was last found to have ended; reset once it is back or a crash is declared.
-    std::optional<TimePoint> m_processEndedAt;
-    std::set<CallId> m_lastCrashCalls; // in flight at the last crash and not ended yet
-    bool m_isLastCrashAttributed = false;
+    // At most one for each slot when a call starts; only one while m_isolation has a running call.
+    Calls m_running;
     std::uint64_t m_nextCall = 1;
-    bool m_isReachable = true;
-    bool m_isBackendLeaving = false;
     bool m_isDraining = false;
-    bool m_isEvacuated = false; // nothing starts at the backend server; what runs is finished
     bool m_hasReportedDrained = false;
     Counts m_counts;
 };
--- a/include/camphorreach/resultstore.h
+++ b/include/camphorreach/resultstore.h
@@ -39,6 +39,12 @@
 
     explicit ResultStore(Limits limits) : m_limits(limits) { }
 
+    /// Whether outcomes of \a request are stored: it is run-once and has an idempotency key.
+    [[nodiscard]] static bool appliesTo(const ForwardRequest &request)
+    {
+        return !request.isIdempotent && !request.key.value().empty();
+    }
+
     /// Marks all keys as in doubt for one retention time, if Limits::mayFollowRestart is set. Only
     /// the first call has an effect.
     void start(TimePoint now);
--- /dev/null
+++ b/src/filters/requests/completionestimate.cpp
@@ -0,0 +1,65 @@
+// Expected completion of requests at a gate.
+#include <camphorreach/completionestimate.h>
+
+namespace camphorreach {
+namespace {
+
+// A request may start with this percentage of the mean service time left: about half of all
+// requests take less.
+constexpr int minStartPercent = 70;
+
+} // namespace
+
+void CompletionEstimate::onAnswered(const RouteName &route, Duration serviceTime, ByteCount size,
+                                    TimePoint now)
+{
+    m_serviceTimes.record(route, serviceTime);
+    m_egress.onResponse(route, size, now);
+}
+
+Duration CompletionEstimate::minTimeLeft(const RouteName &route) const
+{
+    const Duration mean = m_serviceTimes.mean(route);
+    return m_hasTargets ? mean * minStartPercent / 100 : mean;
+}
+
+bool CompletionEstimate::canFinish(const GateWork &work, TimePoint now)
+{
+    const Duration timeLeft = work.answerDeadline - now;
+    if (timeLeft <= Duration::zero())
+        return false;
+    if (timeLeft >= minTimeLeft(work.request.route))
+        return true;
+    m_serviceTimes.onRefused(work.request.route);
+    return false;
+}
+
+Duration CompletionEstimate::egressWait(const GateWork &work, Duration wait, TimePoint now) const
+{
+    if (m_egress.transferTimeOf(work.request.route) == Duration::zero())
+        return Duration::zero();
+    return m_egress.expectedWait(wait + m_serviceTimes.mean(work.request.route), work.egress, now);
+}
+
+bool CompletionEstimate::missesDeadline(const GateWork &work, Duration wait, Duration egressWait,
+                                        TimePoint now) const
+{
+    const RouteName &route = work.request.route;
+    return work.answerDeadline - now
+        < wait + m_serviceTimes.mean(route) + egressWait + m_egress.transferTimeOf(route);
+}
+
+bool CompletionEstimate::missesTarget(const GateWork &work, Duration wait, TimePoint now) const
+{
+    const RouteName &route = work.request.route;
+    return m_hasTargets
+        && work.target - now < wait + m_serviceTimes.mean(route) + egressWait(work, wait, now)
+            + m_egress.transferTimeOf(route);
+}
+
+bool CompletionEstimate::isLate(const GateWork &work, TimePoint now) const
+{
+    return m_hasTargets && work.target - now < minTimeLeft(work.request.route);
+}
+
+} // namespace camphorreach
