--- a/include/camphorreach/completionestimate.h
+++ b/include/camphorreach/completionestimate.h
@@ -22,8 +22,9 @@
     {
         m_egress.onBacklog(changed, now);
     }
-    /// A call of \a route took \a serviceTime, and its response of \a size is going to be sent.
-    void onAnswered(const RouteName &route, Duration serviceTime, ByteCount size, TimePoint now);
+    /// A call of \a request took \a serviceTime, and its response of \a size is going to be sent.
+    void onAnswered(const ForwardRequest &request, Duration serviceTime, ByteCount size,
+                    TimePoint now);
     /// Forgets the service times, for a new process of the backend server.
     void resetServiceTimes() { m_serviceTimes = {}; }
 
--- a/src/filters/requests/completionestimate.cpp
+++ b/src/filters/requests/completionestimate.cpp
@@ -10,11 +10,13 @@
 
 } // namespace
 
-void CompletionEstimate::onAnswered(const RouteName &route, Duration serviceTime, ByteCount size,
-                                    TimePoint now)
+void CompletionEstimate::onAnswered(const ForwardRequest &request, Duration serviceTime,
+                                    ByteCount size, TimePoint now)
 {
-    m_serviceTimes.record(route, serviceTime);
-    m_egress.onResponse(route, size, now);
+    // The time of a large body on its way is not that of the backend server.
+    if (request.content.large.size == ByteCount())
+        m_serviceTimes.record(request.route, serviceTime);
+    m_egress.onResponse(request.route, size, now);
 }
 
 Duration CompletionEstimate::minTimeLeft(const RouteName &route) const
@@ -26,7 +28,7 @@
 bool CompletionEstimate::canFinish(const GateWork &work, TimePoint now)
 {
     const Duration timeLeft = work.answerDeadline - now;
-    if (timeLeft <= Duration::zero())
+    if (timeLeft <= work.request.bodyTime)
         return false;
     if (timeLeft >= minTimeLeft(work.request.route))
         return true;
--- a/src/filters/requests/gate.cpp
+++ b/src/filters/requests/gate.cpp
@@ -26,6 +26,8 @@
         return OutcomeUnknown { UnknownReason::BadAnswer };
     case BackendFailure::TimedOut:
         return OutcomeUnknown { UnknownReason::DeadlinePassed };
+    case BackendFailure::BodyLost:
+        return OutcomeUnknown { UnknownReason::ConnectionLost };
     }
     return OutcomeUnknown { UnknownReason::BackendServerLost };
 }
@@ -195,7 +197,7 @@
     if (failure == nullptr)
         m_containment.onAnswered(call.work.fingerprint);
     if (failure == nullptr && std::get<Answered>(result.result).status < 500) {
-        m_completion.onAnswered(call.work.request.route, now - call.started,
+        m_completion.onAnswered(call.work.request, now - call.started,
                                 ByteCount(std::get<Answered>(result.result).body.size()), now);
     }
 
@@ -339,8 +341,10 @@
     const CallId id(m_nextCall++);
     work.request.budget = work.answerDeadline - now;
     ++m_counts.dispatched;
-    outbox.emit(BackendCall { id, work.request, m_backend.server() });
+    outbox.emit(BackendCall { id, work.request, m_backend.server(), work.link });
+    const ByteCount largeSize = work.request.content.large.size;
     work.request.content = {};
+    work.request.content.large.size = largeSize;
     m_remainingWork.onStarted(id, work.costClass);
     m_running.emplace(id, Call { std::move(work), now });
     return true;
--- a/src/filters/requests/gateadmission.cpp
+++ b/src/filters/requests/gateadmission.cpp
@@ -71,6 +71,11 @@
         return NotRun { NotRunReason::Draining };
     if (const auto reason = m_backend.refusal(work.request))
         return NotRun { *reason };
+    const ForwardRequest &request = work.request;
+    if (request.bodyTime > Duration::zero() && work.answerDeadline - now <= request.bodyTime) {
+        ++m_counts.egressRefused; // of the sender's link
+        return NotRun { NotRunReason::EgressFull };
+    }
     if (!m_completion.canFinish(work, now))
         return NotRun { NotRunReason::DeadlinePassed };
     const Duration wait = expectedWait(work, now);
