Let requests wait for their servers after a start, and name a return

What callers saw: in the two seconds after all processes were killed, 269 to 358 requests were refused.

Cause: a node learns its backend server from the next heartbeat, up to an interval after its start. Until then each request was refused at once, to come back after some 60 ms, or after 0 ms where there was no configuration yet. Two retries were spent within a fifth of a second.

Change: StartWait. For one heartbeat interval and 1 s after the first configuration, a request that finds no server waits for 0.65 of its target latency; one that is refused is told to come back at half of what is left of that time. A refusal without a configuration names 0.3 s.

--- a/include/camphorreach/router.h
+++ b/include/camphorreach/router.h
@@ -19,6 +19,7 @@
 #include <camphorreach/routebytes.h>
 #include <camphorreach/routelatency.h>
 #include <camphorreach/snapshot.h>
+#include <camphorreach/startwait.h>
 #include <camphorreach/waitqueue.h>
 
 #include <cstdint>
@@ -78,6 +79,9 @@
         std::optional<Duration> revocation {};
         /// Enforces the quotas of the configuration.
         std::optional<QuotaOptions> quotas {};
+        /// Interval at which backend servers announce themselves. With it, requests that find no
+        /// server wait for a short time after the start. Unused with `queuesForCapacity`.
+        std::optional<Duration> heartbeat {};
         /// For a \a Policy that leaves the choice to the settings.
         PlacementKind placement = PlacementKind::LeastOccupied;
     };
@@ -103,6 +107,8 @@
     [[nodiscard]] const Identification &identification() const noexcept { return m_identification; }
     /// Null when this router enforces no quotas.
     [[nodiscard]] const Quotas *quotas() const noexcept { return m_quotas ? &*m_quotas : nullptr; }
+    /// Requests that have waited for a server since the start.
+    [[nodiscard]] std::size_t startWaits() const noexcept { return m_startWait.count(); }
     [[nodiscard]] const Placement<Policy> &placement() const noexcept { return m_placement; }
 
 private:
@@ -121,6 +127,8 @@
     void handleQuotaOutputs(Outbox<Quotas::Output> outputs, TimePoint now, Outbox<Output> &outbox);
 
     void sendOrQueue(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
+    [[nodiscard]] bool mayWaitForServer(const PendingRequest &pending, TimePoint now);
+    void endStartWaits(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] bool trySend(PendingRequest &pending, TimePoint now, Outbox<Output> &outbox);
     void enqueue(PendingRequest &pending, TimePoint notBefore, TimePoint now,
                  Outbox<Output> &outbox);
@@ -164,6 +172,7 @@
     RouteLatency m_routeLatencies;
     RouteBytes m_routeBytes;
     WaitQueue m_queue; // requests without a current attempt
+    StartWait m_startWait; // of those among them that wait for a first server
     std::unordered_map<RequestId, PendingRequest> m_requests; // at most m_maxInFlight
     std::unordered_map<RequestId, RequestId> m_forwards; // forward id of the attempt to request id
     std::set<std::pair<TimePoint, RequestId>> m_deadlines; // one per pending request
--- a/src/filters/requests/router.cpp
+++ b/src/filters/requests/router.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t maxBackoffDoublings = 7;
 // Lower bound of `retryAfter` before jitter: about the time until a gate frees a slot.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(60);
+// A node that has started reads the configuration within a few hundred milliseconds.
+constexpr Duration configurationRetryAfter = std::chrono::milliseconds(300);
 // A node without a proof asks for one about twice a second.
 constexpr Duration proofRetryAfter = std::chrono::milliseconds(400);
 
@@ -48,7 +50,7 @@
       m_placement(std::move(domain), random, makePolicy<Policy>(options.placement),
                   options.queuesForCapacity),
       m_identification(options.revocation), m_retryBudget(options.retries),
-      m_queue(std::max<std::size_t>(1, maxInFlight / 2))
+      m_queue(std::max<std::size_t>(1, maxInFlight / 2)), m_startWait(options.heartbeat)
 {
     if (options.quotas)
         m_quotas.emplace(*options.quotas, random);
@@ -109,7 +111,11 @@
     const RequestId id = request.id;
     const auto refuse = [&](NotRunReason reason) {
         ++m_counts.notRun;
-        outbox.emit(ClientResponse { id, NotRun { reason } });
+        NotRun notRun { reason };
+        if (reason == NotRunReason::NoConfiguration)
+            notRun.retryAfter
+                = scaled(configurationRetryAfter, 0.7 + 0.6 * uniformFraction(m_random));
+        outbox.emit(ClientResponse { id, notRun });
     };
     if (m_drain && now >= m_drain->admissionEnd)
         return refuse(NotRunReason::Draining);
@@ -205,6 +211,7 @@
                                      Outbox<Output> &outbox)
 {
     m_snapshot = std::move(changed.snapshot);
+    m_startWait.start(now);
     if (m_quotas)
         m_quotas->onSnapshot(*m_snapshot, now);
     m_retryBudget.retain(*m_snapshot);
@@ -367,6 +374,10 @@
     case PlacementFailure::NoEndpoint:
         if (!m_options.queuesForCapacity) {
             const bool wasRefused = !pending.placement.failedTargets.empty();
+            if (!wasRefused && mayWaitForServer(pending, now)) {
+                pending.notRunReason = NotRunReason::NoEndpoint;
+                return false;
+            }
             finish(pending.request.id,
                    NotRun { wasRefused ? pending.notRunReason : NotRunReason::NoEndpoint,
                             pending.maxRetryAfter },
@@ -389,6 +400,26 @@
     return false;
 }
 
+template <BalancingPolicy Policy>
+bool BasicRouter<Policy>::mayWaitForServer(const PendingRequest &pending, TimePoint now)
+{
+    StartWait::Terms terms { pending.arrivedAt, pending.deadline, pending.route->targetLatency };
+    if (pending.permit.validUntil > TimePoint {})
+        terms.permitEnd = pending.permit.validUntil;
+    return m_startWait.tryAdd(pending.request.id, terms, now);
+}
+
+// Refuses the requests that have waited for a server and still have none.
+template <BalancingPolicy Policy>
+void BasicRouter<Policy>::endStartWaits(TimePoint now, Outbox<Output> &outbox)
+{
+    for (const RequestId id : m_startWait.takeEnded(now)) {
+        const auto found = m_requests.find(id);
+        if (found != m_requests.end() && m_queue.contains(id))
+            finish(id, NotRun { found->second.notRunReason }, now, outbox);
+    }
+}
+
 template <BalancingPolicy Policy>
 void BasicRouter<Policy>::enqueue(PendingRequest &pending, TimePoint notBefore, TimePoint now,
                                   Outbox<Output> &outbox)
@@ -620,7 +651,11 @@
 Duration BasicRouter<Policy>::retryAfterHint(const PendingRequest &pending, const NotRun &notRun,
                                              TimePoint now)
 {
-    const Duration delay = std::max({ notRun.retryAfter, pending.maxRetryAfter, minRetryAfter });
+    const Duration untilServers = notRun.reason == NotRunReason::NoEndpoint
+        ? m_startWait.retryAfter(now)
+        : Duration::zero();
+    const Duration delay
+        = std::max({ notRun.retryAfter, pending.maxRetryAfter, minRetryAfter, untilServers });
     const Duration maxDelay = std::max(minRetryAfter, (pending.deadline - now) / 4);
     const Duration jittered = scaled(delay, 0.7 + 0.6 * uniformFraction(m_random));
     return std::min(jittered, maxDelay);
@@ -702,6 +737,7 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
         expire(m_deadlines.begin()->second, now, outbox);
+    endStartWaits(now, outbox);
     if (m_quotas) {
         Outbox<Quotas::Output> outputs;
         m_quotas->advance(now, outputs);
@@ -725,6 +761,7 @@
         consider(m_deadlines.begin()->first);
     if (m_quotas)
         consider(m_quotas->nextDeadline());
+    consider(m_startWait.nextEnd());
     consider(m_queue.nextBackoffEnd());
     if (m_queue.size() > 0)
         consider(m_placement.nextEjectionEnd());
--- a/src/pipelines/meshnode.cpp
+++ b/src/pipelines/meshnode.cpp
@@ -76,6 +76,7 @@
     MeshRouter::Options options;
     options.queuesForCapacity = false;
     options.placement = settings.placement;
+    options.heartbeat = settings.heartbeat;
     options.spillBytesPerWeight = spillBytesPerWeight;
     options.retries = { initialRetryTokens, maxRetryTokens,
                         RetryBudget::FleetLimit { settings.retries.limit, settings.retries.extra,
--- a/src/pipelines/requestpath.cpp
+++ b/src/pipelines/requestpath.cpp
@@ -26,6 +26,7 @@
     json::object state { { "config_version", router.configVersion().value() },
                          { "in_flight", router.inFlight() },
                          { "waiting", router.waiting() },
+                         { "waited_for_server", router.startWaits() },
                          { "shed", counts.shed },
                          { "cancelled", counts.cancelled },
                          { "requests", counts.requests },
