--- a/include/camphorreach/completionestimate.h
+++ b/include/camphorreach/completionestimate.h
@@ -37,14 +37,15 @@
     {
         return m_serviceTimes.mean(route);
     }
-    /// The mean service time of all routes, or zero when unknown.
-    [[nodiscard]] Duration overallServiceTime() const noexcept
+    /// The mean service time of all routes, or \a assumed when unknown.
+    [[nodiscard]] Duration overallServiceTime(Duration assumed = {}) const noexcept
     {
-        return m_serviceTimes.overallMean();
+        return m_serviceTimes.overallMean(assumed);
     }
 
-    /// Minimum time that a request must have left to be started.
-    [[nodiscard]] Duration minTimeLeft(const RouteName &route) const;
+    /// Minimum time that a request must have left to be started. \a assumedRun stands for the
+    /// service time when that is unknown.
+    [[nodiscard]] Duration minTimeLeft(const RouteName &route, Duration assumedRun) const;
     /// Whether enough time is left to start the request. A refusal lowers the mean service time.
     [[nodiscard]] bool canFinish(const GateWork &work, TimePoint now);
     /// Expected wait of the response for bandwidth, when the request waits \a wait for a slot. Zero
@@ -65,6 +66,12 @@
     [[nodiscard]] bool isLate(const GateWork &work, TimePoint now) const;
 
 private:
+    // The mean service time of its route, or the assumed one when unknown.
+    [[nodiscard]] Duration runOf(const GateWork &work) const
+    {
+        return m_serviceTimes.mean(work.request.route, work.assumedRun);
+    }
+
     const bool m_hasTargets;
     ServiceTimes m_serviceTimes;
     EgressBudget m_egress;
--- a/include/camphorreach/gate.h
+++ b/include/camphorreach/gate.h
@@ -136,7 +136,7 @@
     [[nodiscard]] std::optional<NotRun> refusal(const GateWork &work, TimePoint now);
     [[nodiscard]] NotRun overloaded(Duration wait);
     [[nodiscard]] Duration expectedWait(const GateWork &work, TimePoint now) const;
-    [[nodiscard]] Duration waitBehind(std::size_t before, TimePoint now) const;
+    [[nodiscard]] Duration waitBehind(std::size_t before, Duration assumedRun, TimePoint now) const;
     void reviewDisplaced(TimePoint now, Outbox<Output> &outbox);
     void onReachable(bool isReachable, TimePoint now, Outbox<Output> &outbox);
     void onNotice(const QuarantineNotice &notice, TimePoint now, Outbox<Output> &outbox);
--- a/src/filters/requests/completionestimate.cpp
+++ b/src/filters/requests/completionestimate.cpp
@@ -19,9 +19,9 @@
     m_egress.onResponse(request.route, size, now);
 }
 
-Duration CompletionEstimate::minTimeLeft(const RouteName &route) const
+Duration CompletionEstimate::minTimeLeft(const RouteName &route, Duration assumedRun) const
 {
-    const Duration mean = m_serviceTimes.mean(route);
+    const Duration mean = m_serviceTimes.mean(route, assumedRun);
     return m_hasTargets ? mean * minStartPercent / 100 : mean;
 }
 
@@ -30,7 +30,7 @@
     const Duration timeLeft = work.answerDeadline - now;
     if (timeLeft <= work.request.bodyTime)
         return false;
-    if (timeLeft >= minTimeLeft(work.request.route))
+    if (timeLeft >= minTimeLeft(work.request.route, work.assumedRun))
         return true;
     m_serviceTimes.onRefused(work.request.route);
     return false;
@@ -40,15 +40,14 @@
 {
     if (m_egress.transferTimeOf(work.request.route) == Duration::zero())
         return Duration::zero();
-    return m_egress.expectedWait(wait + m_serviceTimes.mean(work.request.route), work.egress, now);
+    return m_egress.expectedWait(wait + runOf(work), work.egress, now);
 }
 
 bool CompletionEstimate::missesDeadline(const GateWork &work, Duration wait, Duration egressWait,
                                         TimePoint now) const
 {
-    const RouteName &route = work.request.route;
     return work.answerDeadline - now
-        < wait + m_serviceTimes.mean(route) + egressWait + m_egress.transferTimeOf(route);
+        < wait + runOf(work) + egressWait + m_egress.transferTimeOf(work.request.route);
 }
 
 bool CompletionEstimate::missesTarget(const GateWork &work, Duration wait, TimePoint now) const
@@ -61,7 +60,7 @@
 
 bool CompletionEstimate::isLate(const GateWork &work, TimePoint now) const
 {
-    return m_hasTargets && work.target - now < minTimeLeft(work.request.route);
+    return m_hasTargets && work.target - now < minTimeLeft(work.request.route, {});
 }
 
 } // namespace camphorreach
--- a/src/filters/requests/gateadmission.cpp
+++ b/src/filters/requests/gateadmission.cpp
@@ -22,8 +22,11 @@
         = m_limits.rejectsEarly && received.request.targetBudget > Duration::zero();
     const TimePoint target = hasTarget ? now + received.request.targetBudget : answerDeadline;
     // A request that leaves the queue must have enough time left to run elsewhere or to be refused.
+    const Duration assumedRun = m_limits.rejectsEarly
+        ? assumedServiceTime(received.request.targetBudget, received.request.budget)
+        : Duration::zero();
     const Duration minTime = m_limits.rejectsEarly
-        ? m_completion.minTimeLeft(received.request.route)
+        ? m_completion.minTimeLeft(received.request.route, assumedRun)
         : Duration::zero();
     const Digest fingerprint = fingerprintOf(received.request.content);
     const CostClass costClass = m_remainingWork.classOf(received.request);
@@ -36,6 +39,7 @@
             {},
             {},
             {},
+            assumedRun,
             {},
             costClass },
           now, outbox);
@@ -116,18 +120,18 @@
     probe.deadline = work.deadline;
     probe.group = m_shares.groupOf(work.request);
     probe.tag = m_shares.nextTag(probe.group, work.request.route);
-    return waitBehind(m_queues.countBefore(probe), now);
+    return waitBehind(m_queues.countBefore(probe), work.assumedRun, now);
 }
 
 // Expected time until the request after \a before others gets a slot and may start.
-Duration Gate::waitBehind(std::size_t before, TimePoint now) const
+Duration Gate::waitBehind(std::size_t before, Duration assumedRun, TimePoint now) const
 {
     const Duration coldWait = m_coldStart.waitFor(before, now);
     if (busySlots() < m_backend.slots())
         return coldWait;
     const auto ahead = static_cast<Duration::rep>(before) + 1;
     return std::max(coldWait,
-                    m_completion.overallServiceTime() * ahead
+                    m_completion.overallServiceTime(assumedRun) * ahead
                         / static_cast<Duration::rep>(m_backend.slots()));
 }
 
@@ -170,13 +174,14 @@
     if (!m_shares.isActive())
         return;
     const auto missesTarget = [&](const GateWork &work, std::size_t before) {
-        return m_completion.missesTarget(work, waitBehind(before, now), now);
+        return m_completion.missesTarget(work, waitBehind(before, work.assumedRun, now), now);
     };
     const std::vector<GateWork> refused
         = m_queues.takeDisplaced(missesTarget, !m_coldStart.isLimiting(), m_backend.slots());
     m_counts.shed += refused.size();
     for (const GateWork &work : refused)
-        refuse(work, overloaded(waitBehind(m_queues.timelyCount(), now)), now, outbox);
+        refuse(work, overloaded(waitBehind(m_queues.timelyCount(), work.assumedRun, now)), now,
+               outbox);
 }
 
 } // namespace camphorreach
