Test what ends a large body on its way

Cases with real processes: a backend server that answers before it has read the body (UNASKED: what is sent next on its connection would be taken for the rest), and an entry node that is killed while the gate pulls its body.

The second guards the release of slot and window; it was not seen to fail.

--- a/tests/largebodytest.cpp
+++ b/tests/largebodytest.cpp
@@ -10,9 +10,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -78,6 +80,19 @@
         return { "127.0.0.1", m_acceptor.local_endpoint().port() };
     }
 
+    // What the server does with a large body once it has read the head.
+    enum class Mode : std::uint8_t { Checks, AnswersEarly, WaitsAndChecks };
+
+    void setMode(Mode mode) { m_mode = mode; }
+    // Requests with large bodies whose head was read.
+    [[nodiscard]] int started() const { return m_started; }
+    // Large bodies that were read to their end.
+    [[nodiscard]] int completed() const { return m_completed; }
+    // Bytes beyond a body that was answered early. They were sent for another request.
+    [[nodiscard]] std::uint64_t excessBytes() const { return m_excessBytes; }
+    // Connections that the node closed after an early answer.
+    [[nodiscard]] int closed() const { return m_closed; }
+
 private:
     void accept()
     {
@@ -89,34 +104,73 @@
                 return;
             const std::lock_guard lock(m_mutex);
             m_sockets.push_back(socket);
-            m_connections.emplace_back([socket] { serve(*socket); });
+            m_connections.emplace_back([this, socket] { serve(*socket); });
         }
     }
 
-    static void serve(tcp::socket &socket)
+    void serve(tcp::socket &socket)
     {
         boost::beast::flat_buffer buffer;
         boost::system::error_code error;
         while (!error) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(boost::none);
+            http::read_header(socket, buffer, parser, error);
+            if (error)
+                return;
+            const std::uint64_t size = parser.content_length().value_or(0);
+            const bool isLarge = size > bytesPerMb;
+            m_started += isLarge ? 1 : 0;
+            if (isLarge && m_mode == Mode::AnswersEarly)
+                return answerEarly(socket, parser.get(), size - buffer.size());
+            if (isLarge && m_mode == Mode::WaitsAndChecks)
+                std::this_thread::sleep_for(milliseconds(1000));
             http::read(socket, buffer, parser, error);
             if (error)
                 return;
+            m_completed += isLarge ? 1 : 0;
             const auto &request = parser.get();
-            http::response<http::string_body> response(http::status::ok, 11);
-            response.set("X-Camphorreach-Attempt-Id", request["X-Camphorreach-Attempt-Id"]);
-            response.set("X-Camphorreach-Response-Seal", "seal");
-            response.body() = std::to_string(request.body().size())
-                + (request.body() == bodyOf(request.body().size()) ? " intact" : " changed");
-            response.prepare_payload();
-            http::write(socket, response, error);
+            const bool isIntact = request.body() == bodyOf(request.body().size());
+            write(socket, request,
+                  std::to_string(request.body().size()) + (isIntact ? " intact" : " changed"));
         }
     }
 
+    // Answers at once, and reads until the node closes the connection.
+    void answerEarly(tcp::socket &socket, const http::request<http::string_body> &request,
+                     std::uint64_t missing)
+    {
+        write(socket, request, "early");
+        std::this_thread::sleep_for(milliseconds(300));
+        std::uint64_t read = 0;
+        boost::system::error_code error;
+        std::vector<char> bytes(bytesPerMb);
+        while (!error)
+            read += socket.read_some(asio::buffer(bytes), error);
+        m_excessBytes += read - std::min(read, missing);
+        ++m_closed;
+    }
+
+    static void write(tcp::socket &socket, const http::request<http::string_body> &request,
+                      const std::string &body)
+    {
+        http::response<http::string_body> response(http::status::ok, 11);
+        response.set("X-Camphorreach-Attempt-Id", request["X-Camphorreach-Attempt-Id"]);
+        response.set("X-Camphorreach-Response-Seal", "seal");
+        response.body() = body;
+        response.prepare_payload();
+        boost::system::error_code ignored;
+        http::write(socket, response, ignored);
+    }
+
     asio::io_context m_io;
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<Mode> m_mode = Mode::Checks;
+    std::atomic<int> m_started = 0;
+    std::atomic<int> m_completed = 0;
+    std::atomic<int> m_closed = 0;
+    std::atomic<std::uint64_t> m_excessBytes = 0;
     std::mutex m_mutex; // guards the two below
     std::vector<std::shared_ptr<tcp::socket>> m_sockets;
     std::vector<std::jthread> m_connections;
@@ -347,5 +401,53 @@
     checkMemory();
 }
 
+// Guards against a request that is sent on a connection on which the server still expects the rest
+// of a body (rule UNASKED), and against an answer that waits until the whole body is written.
+TEST_CASE_METHOD(LargeBodyFixture, "Sidecar_serverAnswersBeforeItHasReadTheBody_answerIsPassedOn")
+{
+    constexpr std::size_t limit = 16 * bytesPerMb;
+    start(1, 96, limit);
+    server.setMode(CheckingServer::Mode::AnswersEarly);
+    const Reply reply = send("large", limit);
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "early");
+    for (int i = 0; i < 20; ++i)
+        CHECK(order("after-" + std::to_string(i)) == 200);
+    for (int i = 0; i < 200 && server.closed() == 0; ++i)
+        std::this_thread::sleep_for(milliseconds(20));
+    CHECK(server.closed() == 1);
+    CHECK(server.excessBytes() == 0);
+    checkMemory();
+}
+
+// Guards against a body that looks complete although its sender has died, and against a gate that
+// keeps a slot or its memory for it.
+TEST_CASE_METHOD(LargeBodyFixture, "Sidecar_entryNodeDiesWhileItsBodyIsSent_gateGoesOn")
+{
+    constexpr std::size_t limit = 64 * bytesPerMb;
+    start(2, 160, limit);
+    server.setMode(CheckingServer::Mode::WaitsAndChecks);
+    asio::io_context io;
+    LargeClient sender(io, settings.front().clientAddress, headOf("large", limit));
+    const std::string body = bodyOf(limit);
+    sender.send(body);
+    std::jthread sending([&io] { io.run_for(seconds(5)); });
+    for (int i = 0; i < 200 && server.started() == 0; ++i)
+        std::this_thread::sleep_for(milliseconds(20));
+    REQUIRE(server.started() == 1);
+    std::this_thread::sleep_for(milliseconds(300)); // the buffers towards the server are full
+    nodes.front()->send(SIGKILL);
+    sending.join();
+    CHECK(server.completed() == 0);
+    CHECK(sender.reply().status == 0);
+    settings.erase(settings.begin());
+    nodes.erase(nodes.begin());
+    server.setMode(CheckingServer::Mode::Checks);
+    for (int i = 0; i < 20; ++i) // more than the server has slots
+        CHECK(order("after-" + std::to_string(i)) == 200);
+    CHECK(send("again", limit).body == std::to_string(limit) + " intact");
+    checkMemory();
+}
+
 } // namespace
 } // namespace camphorreach
