Let the scenarios pass over the messages about large bodies

Cause: their fake network and node visit all messages between nodes, and did not build since large bodies were added.

Change: these messages and events have no effect there; no scenario has a large body.

--- a/tests/scenario/fakenetwork.cpp
+++ b/tests/scenario/fakenetwork.cpp
@@ -64,6 +64,7 @@
                    },
                    [&](ForwardReply &reply) { sendReply(from, std::move(reply)); },
                    [](EgressUsed &) {}, // the bandwidth is not limited
+                   [](BodyWanted &) {}, // no scenario has a large body
                },
                command);
 }
@@ -218,6 +219,9 @@
                                [&](ForwardResponse &answer) {
                                    sink(PeerReceived<ForwardResponse> { envelope.sender, answer });
                                },
+                               [](ForwardOffer &) {},
+                               [](BodyCredit &) {},
+                               [](BodyPart &) {},
                            },
                            message);
                    },
--- a/tests/scenario/simnode.cpp
+++ b/tests/scenario/simnode.cpp
@@ -170,6 +170,8 @@
             [](PeerReceived<RolloutMessage> &) {},
             [](PeerReceived<QuotaMessage> &) {}, // its configuration has no organisations
             [this](EgressBacklogChanged &changed) { feed(m_gate, changed); },
+            [](BodyPartReceived &) {}, // no scenario has a large body
+            [](BodyEnded &) {},
         },
         event);
 }
