Take decisions out of the catalog into classes with their own state

Callers see no change: inputs, outputs, messages and calls to the store are the same, and so is the order of random draws.

- StoreInformer: what one kind of object reads next and when, overdue calls, pages of a list, catching up.
Three informers watch; nodes are only listed.
- ConfigIntake: which of the versions that were read may take effect, which are reported as invalid, and which unreadable entries count.
- WatchElection: whether this node watches the store, and how often nodes of its rank repeat failed calls.
- EvacuationCheck: when a node that does not watch asks for evacuation orders.
- NodeRegistration: the node's record, created or replaced, and its departures.
- StoreBackoff: the delays that failed calls have in common.

Pages of orders are kept by their informer instead of members of the catalog for each kind.

--- a/include/camphorreach/catalog.h
+++ b/include/camphorreach/catalog.h
@@ -3,25 +3,27 @@
 #pragma once
 
 #include <camphorreach/catalogspread.h>
+#include <camphorreach/configintake.h>
 #include <camphorreach/configproof.h>
 #include <camphorreach/departedrun.h>
 #include <camphorreach/endpointtable.h>
+#include <camphorreach/evacuationcheck.h>
 #include <camphorreach/evacuationtable.h>
 #include <camphorreach/filter.h>
-#include <camphorreach/finding.h>
 #include <camphorreach/joincandidates.h>
 #include <camphorreach/membership.h>
+#include <camphorreach/noderegistration.h>
 #include <camphorreach/ordertable.h>
 #include <camphorreach/peermessage.h>
 #include <camphorreach/random.h>
 #include <camphorreach/snapshot.h>
 #include <camphorreach/store.h>
+#include <camphorreach/storeinformer.h>
 #include <camphorreach/versionedconfig.h>
+#include <camphorreach/watchelection.h>
 
 #include <cstdint>
-#include <deque>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -39,14 +41,6 @@
     std::optional<Duration> staleness {};
 };
 
-/// A version in the store is invalid, so the previous one stays in force. Until a valid one
-/// follows, the store gives no proof that this node's configuration is the newest one.
-struct ConfigurationRefused
-{
-    ConfigVersion version;
-    Findings findings;
-};
-
 /// Keeps a local copy of the configuration and the rollout orders in the platform's store,
 /// registers this node there with the departures that it has acknowledged, restores those of its
 /// earlier processes from there, and discovers other nodes. While the store cannot be reached,
@@ -102,63 +96,28 @@
     [[nodiscard]] std::optional<Duration> staleness(TimePoint now) const;
 
 private:
-    // What a call reads: the beginning of a list, the continuation of one, or changes.
-    enum class Read : std::uint8_t { List, NextPage, Watch };
-
-    struct PendingCall
-    {
-        StoreCallId id;
-        Read read = Read::List;
-        TimePoint sentAt {};
-        TimePoint overdueAt {}; // if no reply has begun until then, the store is not responding
-        TimePoint provesFrom {}; // sending time of the call for the first page
-        ConfigVersion heldAtStart {}; // when it was sent
-        std::optional<ObjectVersion> since {}; // of a watch
-    };
-
-    // Lists and watches one kind of object; lists again when the store has dropped the history.
-    struct Informer
-    {
-        StoreKind kind = StoreKind::Configuration;
-        std::optional<ObjectVersion> resourceVersion {}; // to watch from; empty: list first
-        std::string cursor {}; // name after which the next page of the list begins
-        std::optional<PendingCall> pendingCall {};
-        std::deque<PendingCall> overdueCalls {}; // may still get a reply; at most maxOverdueCalls
-        std::optional<TimePoint> nextCall = TimePoint {}; // empty while other nodes watch
-        std::uint32_t failures = 0; // consecutive
-        bool isSuperseded = false; // peers have sent changes newer than `resourceVersion`
-        bool isCatchingUp = false; // a reply held several versions, so it lists only the newest
-        std::optional<TimePoint> freshAsOf {}; // when the store held nothing newer
-        TimePoint listStartedAt {}; // sending time of the call for the first page of a list
-    };
-
     void onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
-    void onInformerReply(Informer &informer, StoreReply &reply, TimePoint now,
+    void onInformerReply(StoreInformer &informer, StoreReply &reply, TimePoint now,
                          Outbox<Output> &outbox);
-    void onLateReply(Informer &informer, StoreReply &reply, TimePoint now, Outbox<Output> &outbox);
+    void onLateReply(StoreInformer &informer, StoreReply &reply, TimePoint now,
+                     Outbox<Output> &outbox);
     void onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox);
-    void onRecordConflict(const StoreRefusal &refusal, TimePoint now, Outbox<Output> &outbox);
-    void onDepartures(const DeparturesChanged &changed, TimePoint now);
-    void publishRestored(Outbox<Output> &outbox);
-    void writeRecord(Outbox<Output> &outbox);
-    void onEntries(Informer &informer, const PendingCall &call, StoreEntries &entries,
+    void onEntries(StoreInformer &informer, const StoreInformer::Call &call, StoreEntries &entries,
                    TimePoint now, Outbox<Output> &outbox);
     template <typename Order>
-    [[nodiscard]] static bool applyEntries(OrderTable<Order> &orders,
-                                           std::optional<StoreEntries> &listed, Read read,
-                                           const StoreEntries &entries, bool hasMore);
+    [[nodiscard]] static bool applyEntries(OrderTable<Order> &orders, StoreInformer &informer,
+                                           StoreInformer::Read read, const StoreEntries &entries,
+                                           bool hasMore);
     void publishEvacuations(bool haveChanged, Outbox<Output> &outbox);
-    void recordProof(const PendingCall &call, ObjectVersion resourceVersion, ConfigVersion newest,
-                     TimePoint now);
-    [[nodiscard]] bool isUnreadableConfiguration(const StoreEntry &entry) const;
-    [[nodiscard]] bool isAccepted(const MeshConfig &config, Outbox<Output> &outbox);
-    void onOverdue(Informer &informer, TimePoint now);
-    void restartList(Informer &informer);
-    void onLastPage(Informer &informer, ObjectVersion resourceVersion, std::size_t changes,
+    void recordProof(const StoreInformer::Call &call, ObjectVersion resourceVersion,
+                     ConfigVersion newest, TimePoint now);
+    void onOverdue(StoreInformer &informer, TimePoint now);
+    void restartList(StoreInformer &informer);
+    void onLastPage(StoreInformer &informer, ObjectVersion resourceVersion, std::size_t versions,
                     bool isNewer, TimePoint now);
-    void onNodesListed(Informer &informer, TimePoint now);
+    void onNodesListed(StoreInformer &informer, TimePoint now);
     void joinListedNodes(TimePoint now, Outbox<Output> &outbox);
-    void onFailure(Informer &informer, const StoreResult &result, TimePoint now);
+    void onFailure(StoreInformer &informer, const StoreResult &result, TimePoint now);
     void onMessage(PeerReceived<CatalogMessage> &received, TimePoint now, Outbox<Output> &outbox);
     void onDigest(const NetAddress &from, const CatalogDigest &theirs, TimePoint now,
                   Outbox<Output> &outbox);
@@ -174,8 +133,8 @@
     void releaseSnapshot(TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] TimePoint snapshotReleaseTime() const;
     // The informers that this node uses, and those that decide how stale its copy is.
-    [[nodiscard]] std::vector<Informer *> informers();
-    [[nodiscard]] std::vector<Informer *> watchingInformers();
+    [[nodiscard]] std::vector<StoreInformer *> informers();
+    [[nodiscard]] std::vector<StoreInformer *> watchingInformers();
     // Called once everything in a reply or message has been applied. Emits changed orders, notifies
     // peers of changes and pulls what is still missing.
     void publishChanges(bool haveOrdersChanged, bool hasOtherChanged, TimePoint now,
@@ -191,19 +150,17 @@
     void pull(TimePoint now, CatalogSpread::Sends &sends);
     [[nodiscard]] bool waitsForStore(TimePoint now) const;
     [[nodiscard]] std::optional<TimePoint> freshAsOf() const;
-    [[nodiscard]] TimePoint takeoverTime() const;
+    [[nodiscard]] WatchElection::Copy ownCopy() const;
     [[nodiscard]] bool isWatcher(TimePoint now) const;
     [[nodiscard]] std::optional<TimePoint> evacuationCheckTime() const;
     void checkEvacuations(TimePoint now);
     void updateWatch(TimePoint now);
-    void emitCall(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox);
-    void listOrWatch(Informer &informer, TimePoint now, Outbox<Output> &outbox);
+    void listOrWatch(StoreInformer &informer, TimePoint now, Outbox<Output> &outbox);
     [[nodiscard]] CatalogVersions heldVersions() const;
     [[nodiscard]] CatalogDigest ownDigest(TimePoint now) const;
-    void scheduleRetry(Informer &informer, TimePoint now);
-    [[nodiscard]] bool isDue(const Informer &informer, TimePoint now) const;
+    void scheduleRetry(StoreInformer &informer, TimePoint now);
+    [[nodiscard]] bool isDue(const StoreInformer &informer, TimePoint now) const;
     [[nodiscard]] Duration watchWait(StoreKind kind);
-    [[nodiscard]] Duration retryDelay(std::uint32_t failures);
 
     const Endpoint m_self;
     const Options m_options;
@@ -211,34 +168,22 @@
     VersionedConfig m_config;
     OrderTable<RolloutOrder> m_orders;
     CatalogSpread m_spread;
-    Informer m_configInformer { StoreKind::Configuration };
-    Informer m_rolloutInformer { StoreKind::Rollouts };
-    Informer m_nodeInformer { StoreKind::Nodes };
-    Informer m_evacuationInformer { StoreKind::Evacuations }; // unused without readsEvacuations
+    StoreInformer m_configInformer { StoreKind::Configuration };
+    StoreInformer m_rolloutInformer { StoreKind::Rollouts };
+    StoreInformer m_nodeInformer { StoreKind::Nodes };
+    // Unused without readsEvacuations.
+    StoreInformer m_evacuationInformer { StoreKind::Evacuations };
     EvacuationTable m_evacuations;
-    // Of the lists being read; empty when none was begun.
-    std::optional<StoreEntries> m_listedOrders;
-    std::optional<StoreEntries> m_listedEvacuations;
-    TimePoint m_nextEvacuationCheck {}; // not sooner, however stale the copy is
+    EvacuationCheck m_evacuationCheck;
     bool m_areEvacuationsKnown = false; // from the store or from a peer; never reset
     bool m_isSnapshotHeld = false; // until they are known, or snapshotReleaseTime()
     JoinCandidates m_joinCandidates;
     unsigned m_earlyNodeLists = 4; // lists left to read at the early interval
-    std::optional<StoreCallId> m_registrationCall; // pending
-    // Empty while the call is pending and once the record is stored.
-    std::optional<TimePoint> m_nextRegistration = TimePoint {};
-    bool m_hasRecord = false; // the record should exist, so it is replaced rather than created
-    std::optional<ObjectVersion> m_recordVersion; // of the existing record, if it is known
-    DepartedRuns m_departures; // of this process, and of earlier ones once they are restored
-    DepartedRuns m_writtenDepartures; // by the last call that wrote the record
-    bool m_areDeparturesRestored = false; // never reset
-    std::optional<TimePoint> m_startedAt; // time of the first advance()
+    NodeRegistration m_registration;
+    WatchElection m_election;
     std::optional<TimePoint> m_peerFreshAsOf; // like freshAsOf of an informer, through peers
-    TimePoint m_lastPeerMessage {};
-    bool m_isWatching = true; // isWatcher() at the last update
     ConfigProof m_proof;
-    std::string m_configName; // of the entry with the configuration; empty until one was read
-    ConfigVersion m_refusedVersion; // latest version with findings
+    ConfigIntake m_configIntake;
     ConfigVersion m_namedVersion; // newest that another node has named
     const std::uint64_t m_keySeed;
     std::uint64_t m_nextCallId = 1;
--- a/src/filters/configuration/catalog.cpp
+++ b/src/filters/configuration/catalog.cpp
@@ -2,6 +2,7 @@
 #include <camphorreach/catalog.h>
 
 #include <camphorreach/result.h>
+#include <camphorreach/storebackoff.h>
 
 #include <algorithm>
 #include <memory>
@@ -15,26 +16,6 @@
 // stored since, so the maximum wait, the response time and the transfer must fit into these 3 s.
 constexpr Duration maxWatchWait = std::chrono::seconds(2);
 constexpr double minWatchWaitFraction = 0.8;
-// A slow store responds within 250 ms. Without the beginning of a reply for this long, it may have
-// stopped responding.
-constexpr Duration responseTime = std::chrono::milliseconds(400);
-constexpr std::size_t maxOverdueCalls = 3;
-// Number of nodes of a failure domain that watch the store; the others get changes from them. With
-// three, a store that refuses a third of the machines rarely refuses all watchers of a region.
-constexpr std::size_t watchersPerDomain = 3;
-// A node receives two digests per second on average. Without any message for this time it assumes
-// that it is cut off from the other nodes, and watches the store itself.
-constexpr Duration peerTimeout = std::chrono::seconds(4);
-// A node whose copy is staler than this also watches the store itself. A watch resets the staleness
-// of a watcher at least every 3 s, and several rounds of digests pass that on to all nodes.
-constexpr Duration maxStaleness = std::chrono::seconds(6);
-// Nodes that take over from stale watchers start one after the other by rank, so that the changes
-// that the first one reads save the others the calls.
-constexpr Duration takeoverStagger = std::chrono::milliseconds(100);
-// An order must spread within this time after a stale node has asked the store for it.
-constexpr Duration evacuationMargin = std::chrono::milliseconds(500);
-// Minimum time between two such questions of one node.
-constexpr Duration evacuationCheckInterval = std::chrono::seconds(1);
 // Node lists serve only to find nodes that gossip has lost, so they may be infrequent and stale.
 constexpr Duration nodeListInterval = std::chrono::seconds(20);
 // Nodes that start together register within a second or two of each other.
@@ -42,15 +23,13 @@
 // While this node knows no other. All nodes may be in this state, after they were killed together,
 // and the reads of hundreds must stay within the rate of the store.
 constexpr Duration lonelyNodeListInterval = std::chrono::seconds(3);
-constexpr Duration initialBackoff = std::chrono::milliseconds(150);
-constexpr Duration maxBackoff = std::chrono::milliseconds(1200);
-constexpr std::uint32_t maxBackoffDoublings = 3;
 
 } // namespace
 
 Catalog::Catalog(Endpoint self, Options options, RandomSource &random)
     : m_self(std::move(self)), m_options(options), m_random(random), m_spread(m_self, random),
-      m_joinCandidates(m_self.peer, random), m_proof(options.revocation, random),
+      m_evacuationCheck(options.evacuationTime), m_joinCandidates(m_self.peer, random),
+      m_registration(m_self.instance, m_self.peer, random), m_proof(options.revocation, random),
       m_keySeed(random())
 { }
 
@@ -64,7 +43,7 @@
                 m_spread.update(*changed.table);
                 m_joinCandidates.update(*changed.table);
             },
-            [&](DeparturesChanged &changed) { onDepartures(changed, now); },
+            [&](DeparturesChanged &changed) { m_registration.add(changed.departures, now); },
         },
         input);
     advance(now, outbox);
@@ -73,10 +52,10 @@
 std::optional<TimePoint> Catalog::freshAsOf() const
 {
     std::optional<TimePoint> byStore;
-    if (m_configInformer.freshAsOf && m_rolloutInformer.freshAsOf)
-        byStore = std::min(*m_configInformer.freshAsOf, *m_rolloutInformer.freshAsOf);
+    if (m_configInformer.freshAsOf() && m_rolloutInformer.freshAsOf())
+        byStore = std::min(m_configInformer.freshAsOf(), m_rolloutInformer.freshAsOf());
     if (m_options.readsEvacuations)
-        byStore = std::min(byStore, m_evacuationInformer.freshAsOf); // empty compares as less
+        byStore = std::min(byStore, m_evacuationInformer.freshAsOf()); // empty compares as less
     return std::max(byStore, m_peerFreshAsOf); // an empty optional compares as less
 }
 
@@ -86,106 +65,92 @@
     return asOf ? std::optional(now - *asOf) : std::nullopt;
 }
 
-// The time at which a node starts to watch although its rank does not select it.
-TimePoint Catalog::takeoverTime() const
+WatchElection::Copy Catalog::ownCopy() const
 {
-    const auto asOf = freshAsOf();
-    const TimePoint staleAt = asOf.value_or(m_startedAt.value_or(TimePoint {})) + maxStaleness
-        + takeoverStagger * static_cast<Duration::rep>(m_spread.rank());
-    const TimePoint next = std::min(m_lastPeerMessage + peerTimeout, staleAt);
-    if (!m_proof.isStrict())
-        return next;
-    return std::min(next,
-                    m_proof.asOf().value_or(m_startedAt.value_or(TimePoint {}))
-                        + m_proof.takeoverAge(m_spread.rank()));
+    const std::size_t rank = m_spread.rank();
+    const auto maxProofAge
+        = m_proof.isStrict() ? std::optional(m_proof.takeoverAge(rank)) : std::nullopt;
+    return { rank, freshAsOf(), maxProofAge, m_proof.asOf() };
 }
 
 bool Catalog::isWatcher(TimePoint now) const
 {
-    return m_spread.rank() < watchersPerDomain || now >= takeoverTime();
+    return m_election.isWatcher(ownCopy(), now);
 }
 
-// The time at which a node that does not watch lists the evacuation orders, because an order may
-// have been given that its peers do not know either: they have lost all watchers, or the store
-// refuses these. Empty while it need not.
+// The time at which a node that does not watch lists the evacuation orders. Empty while it need
+// not.
 std::optional<TimePoint> Catalog::evacuationCheckTime() const
 {
-    const Informer &informer = m_evacuationInformer;
-    if (!m_options.readsEvacuations || m_isWatching || informer.pendingCall || informer.nextCall)
+    const StoreInformer &informer = m_evacuationInformer;
+    if (!m_options.readsEvacuations || m_election.isWatching() || informer.isPending()
+        || informer.isScheduled())
         return std::nullopt;
-    const TimePoint asOf
-        = std::max(freshAsOf(), informer.freshAsOf).value_or(m_startedAt.value_or(TimePoint {}));
-    const Duration stagger = takeoverStagger * static_cast<Duration::rep>(m_spread.rank());
-    return std::max(asOf + m_options.evacuationTime - evacuationMargin + stagger,
-                    m_nextEvacuationCheck);
+    const TimePoint startedAt = m_election.startedAt().value_or(TimePoint {});
+    const TimePoint asOf = std::max(freshAsOf(), informer.freshAsOf()).value_or(startedAt);
+    return m_evacuationCheck.nextCheck(asOf, m_spread.rank());
 }
 
-// While the store fails, nodes ask less often the higher their rank, as in scheduleRetry().
 void Catalog::checkEvacuations(TimePoint now)
 {
     const auto time = evacuationCheckTime();
     if (!time || now < *time)
         return;
-    const auto share = static_cast<Duration::rep>(1 + m_spread.rank() / watchersPerDomain);
-    m_nextEvacuationCheck = now + evacuationCheckInterval * share;
-    m_evacuationInformer.failures = 0;
-    m_evacuationInformer.nextCall = now;
+    m_evacuationCheck.onChecked(m_spread.rank(), now);
+    m_evacuationInformer.resetFailures();
+    m_evacuationInformer.callAt(now);
 }
 
 // A watch from the last resource version would return every version that peers have already sent,
 // so a node that starts to watch after such changes lists first.
 void Catalog::updateWatch(TimePoint now)
 {
-    const bool watched = std::exchange(m_isWatching, isWatcher(now));
-    if (watched || !m_isWatching)
+    if (!m_election.update(ownCopy(), now))
         return;
-    for (Informer *informer : watchingInformers()) {
-        if (std::exchange(informer->isSuperseded, false))
-            informer->resourceVersion.reset();
-        informer->nextCall = std::min(informer->nextCall.value_or(now), now);
-    }
+    for (StoreInformer *informer : watchingInformers())
+        informer->startWatching(now);
 }
 
 void Catalog::onReply(StoreReply &reply, TimePoint now, Outbox<Output> &outbox)
 {
-    if (m_registrationCall == reply.id) {
-        m_registrationCall.reset();
-        onRegistrationReply(reply.result, now, outbox);
-        return;
-    }
-    for (Informer *informer : informers()) {
-        if (informer->pendingCall && informer->pendingCall->id == reply.id)
+    if (m_registration.isPending(reply.id))
+        return onRegistrationReply(reply.result, now, outbox);
+    for (StoreInformer *informer : informers()) {
+        if (informer->isPending(reply.id))
             return onInformerReply(*informer, reply, now, outbox);
-        if (std::ranges::find(informer->overdueCalls, reply.id, &PendingCall::id)
-            != informer->overdueCalls.end())
+        if (informer->isOverdue(reply.id))
             return onLateReply(*informer, reply, now, outbox);
     }
 }
 
-void Catalog::onInformerReply(Informer &informer, StoreReply &reply, TimePoint now,
+void Catalog::onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox)
+{
+    NodeRegistration::Effect effect = m_registration.onReply(result, now);
+    if (effect.hasFailed)
+        ++m_failedCalls;
+    for (auto &event : effect.events)
+        std::visit([&](auto &departures) { outbox.emit(std::move(departures)); }, event);
+}
+
+void Catalog::onInformerReply(StoreInformer &informer, StoreReply &reply, TimePoint now,
                               Outbox<Output> &outbox)
 {
-    if (std::holds_alternative<StoreReplyBegun>(reply.result)) {
-        informer.pendingCall->overdueAt = TimePoint::max(); // the endpoint limits the rest
-        return;
-    }
-    const PendingCall call = *std::exchange(informer.pendingCall, std::nullopt);
+    if (std::holds_alternative<StoreReplyBegun>(reply.result))
+        return informer.onReplyBegun();
+    const StoreInformer::Call call = informer.takePending();
     if (auto *entries = std::get_if<StoreEntries>(&reply.result))
         onEntries(informer, call, *entries, now, outbox);
     else
         onFailure(informer, reply.result, now);
 }
 
-// Whichever call is answered first counts, and the replies to the others are ignored. The copy may
-// be as stale as the call is old.
-void Catalog::onLateReply(Informer &informer, StoreReply &reply, TimePoint now,
+// The copy may be as stale as the call is old.
+void Catalog::onLateReply(StoreInformer &informer, StoreReply &reply, TimePoint now,
                           Outbox<Output> &outbox)
 {
     if (std::holds_alternative<StoreReplyBegun>(reply.result))
         return;
-    const auto found = std::ranges::find(informer.overdueCalls, reply.id, &PendingCall::id);
-    const PendingCall call = *found;
-    informer.overdueCalls.erase(found);
+    const StoreInformer::Call call = informer.takeOverdue(reply.id);
     auto *entries = std::get_if<StoreEntries>(&reply.result);
     if (entries == nullptr) {
         ++m_failedCalls;
@@ -193,146 +158,60 @@
     }
     // The pages before it were dropped when the call was overdue.
     const bool needsAllPages
-        = informer.kind == StoreKind::Rollouts || informer.kind == StoreKind::Evacuations;
-    if (needsAllPages && call.read == Read::NextPage)
+        = informer.kind() == StoreKind::Rollouts || informer.kind() == StoreKind::Evacuations;
+    if (needsAllPages && call.read == StoreInformer::Read::NextPage)
         return;
-    informer.pendingCall.reset();
-    informer.overdueCalls.clear();
-    const auto freshBefore = informer.freshAsOf;
+    informer.dropOtherCalls();
+    const auto freshBefore = informer.freshAsOf();
     onEntries(informer, call, *entries, now, outbox);
-    informer.freshAsOf = std::max(freshBefore, std::optional(call.sentAt));
-}
-
-void Catalog::onRegistrationReply(const StoreResult &result, TimePoint now, Outbox<Output> &outbox)
-{
-    if (const auto *written = std::get_if<StoreWritten>(&result)) {
-        m_hasRecord = true;
-        m_recordVersion = written->version;
-        publishRestored(outbox);
-        outbox.emit(DeparturesStored { m_writtenDepartures });
-        if (m_writtenDepartures != m_departures)
-            m_nextRegistration = now;
-        return;
-    }
-    const auto *refusal = std::get_if<StoreRefusal>(&result);
-    if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::Conflict)
-        return onRecordConflict(*refusal, now, outbox);
-    if (refusal != nullptr && refusal->reason == StoreRefusal::Reason::NotFound)
-        m_hasRecord = false;
-    ++m_failedCalls;
-    m_nextRegistration = now + retryDelay(maxBackoffDoublings);
-}
-
-// An existing record is this node's own, left by an earlier process or written by a call without a
-// reply. Its departures are kept; the next call replaces it.
-void Catalog::onRecordConflict(const StoreRefusal &refusal, TimePoint now, Outbox<Output> &outbox)
-{
-    m_hasRecord = true;
-    m_recordVersion.reset();
-    if (refusal.current) {
-        m_recordVersion = refusal.current->version;
-        if (const auto *record = std::get_if<NodeRecord>(&refusal.current->value)) {
-            m_departures.add(record->departures);
-            outbox.emit(DeparturesStored { record->departures });
-        }
-    }
-    publishRestored(outbox);
-    m_nextRegistration = now;
-}
-
-void Catalog::publishRestored(Outbox<Output> &outbox)
-{
-    if (!std::exchange(m_areDeparturesRestored, true))
-        outbox.emit(DeparturesRestored { m_departures });
-}
-
-void Catalog::onDepartures(const DeparturesChanged &changed, TimePoint now)
-{
-    if (m_departures.add(changed.departures) && !m_registrationCall)
-        m_nextRegistration = std::min(m_nextRegistration.value_or(now), now);
+    informer.limitFreshness(freshBefore, call.sentAt);
 }
 
-void Catalog::writeRecord(Outbox<Output> &outbox)
+void Catalog::onEntries(StoreInformer &informer, const StoreInformer::Call &call,
+                        StoreEntries &entries, TimePoint now, Outbox<Output> &outbox)
 {
-    m_nextRegistration.reset();
-    m_registrationCall = StoreCallId(m_nextCallId++);
-    m_writtenDepartures = m_departures;
-    const NodeRecord record { m_self.instance, m_self.peer, m_departures };
-    if (m_hasRecord)
-        emitCall(*m_registrationCall, StoreReplace { record, m_recordVersion }, outbox);
-    else
-        emitCall(*m_registrationCall, StoreRegister { record }, outbox);
-}
-
-void Catalog::onEntries(Informer &informer, const PendingCall &call, StoreEntries &entries,
-                        TimePoint now, Outbox<Output> &outbox)
-{
-    informer.failures = 0;
-    bool isEveryConfigAccepted = true; // and readable, up to the newest one
-    ConfigVersion newestSeen;
-    std::size_t configs = 0;
-    std::shared_ptr<const MeshConfig> newest;
-    for (StoreEntry &entry : entries.entries) {
-        if (auto *config = std::get_if<std::shared_ptr<const MeshConfig>>(&entry.value)) {
-            ++configs;
-            m_configName = entry.name;
-            if ((*config)->version <= newestSeen)
-                continue;
-            newestSeen = (*config)->version;
-            isEveryConfigAccepted = isAccepted(**config, outbox);
-            if (isEveryConfigAccepted)
-                newest = std::move(*config);
-        } else if (informer.kind == StoreKind::Configuration && isUnreadableConfiguration(entry)) {
-            isEveryConfigAccepted = false;
-        } else if (const auto *node = std::get_if<NodeRecord>(&entry.value)) {
-            m_joinCandidates.add(node->peer);
-        }
-    }
-    informer.nextCall = now;
-    // An unreadable entry may have no name. A page without a name after the cursor ends the list,
-    // or the same page would be read again.
-    std::string lastName;
+    ConfigIntake::Page page;
+    if (informer.kind() == StoreKind::Configuration)
+        page = m_configIntake.read(entries.entries);
+    for (ConfigurationRefused &refused : page.refused)
+        outbox.emit(std::move(refused));
     for (const StoreEntry &entry : entries.entries)
-        lastName = std::max(lastName, entry.name);
-    const bool hasMore = entries.hasMore && lastName > informer.cursor;
-    informer.cursor = hasMore ? lastName : std::string();
-    const bool isNewer = newest && newest->version > version();
-    const ConfigVersion newestVersion = newest ? newest->version : ConfigVersion();
-    if (!hasMore && informer.kind == StoreKind::Configuration && isEveryConfigAccepted)
+        if (const auto *node = std::get_if<NodeRecord>(&entry.value))
+            m_joinCandidates.add(node->peer);
+    const bool hasMore = informer.onPage(entries, now);
+    const bool isNewer = page.newest && page.newest->version > version();
+    const ConfigVersion newestVersion = page.newest ? page.newest->version : ConfigVersion();
+    if (!hasMore && informer.kind() == StoreKind::Configuration && page.isEveryAccepted)
         recordProof(call, entries.resourceVersion, newestVersion, now);
-    if (!hasMore && informer.kind == StoreKind::Nodes)
+    if (!hasMore && informer.kind() == StoreKind::Nodes)
         onNodesListed(informer, now);
     else if (!hasMore)
-        onLastPage(informer, entries.resourceVersion, configs, isNewer, now);
-    const bool haveOrdersChanged = informer.kind == StoreKind::Rollouts
-        && applyEntries(m_orders, m_listedOrders, call.read, entries, hasMore);
-    const bool haveEvacuationsChanged = informer.kind == StoreKind::Evacuations
-        && applyEntries(m_evacuations, m_listedEvacuations, call.read, entries, hasMore);
-    if (informer.kind == StoreKind::Evacuations && (call.read == Read::Watch || !hasMore))
+        onLastPage(informer, entries.resourceVersion, page.configurations, isNewer, now);
+    const bool haveOrdersChanged = informer.kind() == StoreKind::Rollouts
+        && applyEntries(m_orders, informer, call.read, entries, hasMore);
+    const bool haveEvacuationsChanged = informer.kind() == StoreKind::Evacuations
+        && applyEntries(m_evacuations, informer, call.read, entries, hasMore);
+    if (informer.kind() == StoreKind::Evacuations
+        && (call.read == StoreInformer::Read::Watch || !hasMore))
         publishEvacuations(haveEvacuationsChanged, outbox);
-    if (!isEveryConfigAccepted && informer.nextCall && m_proof.isStrict()) {
+    if (!page.isEveryAccepted && informer.isScheduled() && m_proof.isStrict()) {
         // A watch from here on would prove nothing about what could not be read.
-        informer.resourceVersion.reset();
-        informer.nextCall = now + retryDelay(maxBackoffDoublings);
+        informer.requireList();
+        informer.callAt(now + StoreBackoff::delay(StoreBackoff::maxDoublings, m_random));
     }
-    const bool hasConfigChanged = newest && apply(*newest, now, outbox);
+    const bool hasConfigChanged = page.newest && apply(*page.newest, now, outbox);
     publishChanges(haveOrdersChanged, hasConfigChanged || haveEvacuationsChanged, now, outbox);
 }
 
 // A list is applied as a whole, as of its first page: what is not in it was taken back.
 template <typename Order>
-bool Catalog::applyEntries(OrderTable<Order> &orders, std::optional<StoreEntries> &listed,
-                           Read read, const StoreEntries &entries, bool hasMore)
+bool Catalog::applyEntries(OrderTable<Order> &orders, StoreInformer &informer,
+                           StoreInformer::Read read, const StoreEntries &entries, bool hasMore)
 {
-    if (read == Read::Watch)
+    if (read == StoreInformer::Read::Watch)
         return orders.applyEvents(entries.entries, entries.resourceVersion);
-    if (read == Read::List || !listed)
-        listed = StoreEntries { {}, entries.resourceVersion };
-    listed->entries.insert(listed->entries.end(), entries.entries.begin(), entries.entries.end());
-    if (hasMore)
-        return false;
-    const StoreEntries list = *std::exchange(listed, std::nullopt);
-    return orders.applyList(list.entries, list.resourceVersion);
+    const auto list = informer.collect(read, entries, hasMore);
+    return list && orders.applyList(list->entries, list->resourceVersion);
 }
 
 void Catalog::publishEvacuations(bool haveChanged, Outbox<Output> &outbox)
@@ -345,7 +224,7 @@
 
 // The reply has everything that was acknowledged before the call was sent, and shows nothing about
 // the time after: it may have been delayed, and a watch may have ended early.
-void Catalog::recordProof(const PendingCall &call, ObjectVersion resourceVersion,
+void Catalog::recordProof(const StoreInformer::Call &call, ObjectVersion resourceVersion,
                           ConfigVersion newest, TimePoint now)
 {
     const ConfigVersion needed = call.since ? std::max(newest, call.heldAtStart) : newest;
@@ -355,49 +234,22 @@
         m_proof.record(call.provesFrom, needed, version(), now);
 }
 
-// Whether the entry may be the configuration, so that the copy may lack it.
-bool Catalog::isUnreadableConfiguration(const StoreEntry &entry) const
+void Catalog::onLastPage(StoreInformer &informer, ObjectVersion resourceVersion,
+                         std::size_t versions, bool isNewer, TimePoint now)
 {
-    const bool isOther = !entry.name.empty() && !m_configName.empty() && entry.name != m_configName;
-    return !entry.isRemoved && !isOther && std::holds_alternative<std::monostate>(entry.value);
+    informer.onLastPage(resourceVersion, versions, isNewer, now);
+    if (!informer.isCatchingUp() && !isWatcher(now))
+        informer.stop();
 }
 
-bool Catalog::isAccepted(const MeshConfig &config, Outbox<Output> &outbox)
-{
-    Findings findings = findingsOf(config);
-    if (findings.empty())
-        return true;
-    if (config.version > m_refusedVersion) {
-        m_refusedVersion = config.version;
-        outbox.emit(ConfigurationRefused { config.version, std::move(findings) });
-    }
-    return false;
-}
-
-// A watch returns every version in full. When a reply holds more than one, the node lists instead,
-// which returns only the newest, until a list returns nothing newer. That way it is never behind by
-// more than the transfer time of one version.
-void Catalog::onLastPage(Informer &informer, ObjectVersion resourceVersion, std::size_t changes,
-                         bool isNewer, TimePoint now)
-{
-    informer.freshAsOf = now;
-    informer.isSuperseded = false;
-    informer.isCatchingUp = changes > 1 || (informer.isCatchingUp && isNewer);
-    informer.resourceVersion = resourceVersion;
-    if (informer.isCatchingUp)
-        informer.resourceVersion.reset();
-    else if (!isWatcher(now))
-        informer.nextCall.reset();
-}
-
-void Catalog::onNodesListed(Informer &informer, TimePoint now)
+void Catalog::onNodesListed(StoreInformer &informer, TimePoint now)
 {
     const bool hasNodes = m_joinCandidates.finishList(now);
     if (hasNodes && m_earlyNodeLists > 0)
         --m_earlyNodeLists;
     const Duration laterInterval
         = m_joinCandidates.knowsOthers() ? nodeListInterval : lonelyNodeListInterval;
-    informer.nextCall = now + (m_earlyNodeLists > 0 ? earlyNodeListInterval : laterInterval);
+    informer.callAt(now + (m_earlyNodeLists > 0 ? earlyNodeListInterval : laterInterval));
 }
 
 void Catalog::joinListedNodes(TimePoint now, Outbox<Output> &outbox)
@@ -408,53 +260,38 @@
 
 // A failed watch is not repeated: its reply would hold every version since then in full, and would
 // grow with each of them beyond any limit on its size. A list returns only the newest.
-void Catalog::onFailure(Informer &informer, const StoreResult &result, TimePoint now)
+void Catalog::onFailure(StoreInformer &informer, const StoreResult &result, TimePoint now)
 {
-    const bool wasWatch = informer.resourceVersion.has_value();
+    const bool wasWatch = informer.watchFrom().has_value();
     restartList(informer);
     const auto *refusal = std::get_if<StoreRefusal>(&result);
     const bool isHistoryGone
         = refusal != nullptr && refusal->reason == StoreRefusal::Reason::HistoryGone;
-    if (isHistoryGone || (wasWatch && std::holds_alternative<StoreReplyTooLarge>(result))) {
-        informer.nextCall = now;
-        return;
-    }
+    if (isHistoryGone || (wasWatch && std::holds_alternative<StoreReplyTooLarge>(result)))
+        return informer.callAt(now);
     ++m_failedCalls;
     scheduleRetry(informer, now);
     if (wasWatch && !isWatcher(now))
-        informer.nextCall.reset();
+        informer.stop();
 }
 
-// The call is not given up, because a store that is only slow still replies to it. Another call
-// shows when a store that does not respond to anything is back.
-void Catalog::onOverdue(Informer &informer, TimePoint now)
+void Catalog::onOverdue(StoreInformer &informer, TimePoint now)
 {
-    informer.overdueCalls.push_back(*informer.pendingCall);
-    informer.pendingCall.reset();
-    restartList(informer);
+    informer.onOverdue(); // never of the nodes, so no list of them restarts
     scheduleRetry(informer, now);
 }
 
-void Catalog::restartList(Informer &informer)
+void Catalog::restartList(StoreInformer &informer)
 {
-    informer.resourceVersion.reset();
-    informer.cursor.clear();
-    if (informer.kind == StoreKind::Nodes)
+    informer.restartList();
+    if (informer.kind() == StoreKind::Nodes)
         m_joinCandidates.restartList();
-    else if (informer.kind == StoreKind::Rollouts)
-        m_listedOrders.reset();
-    else if (informer.kind == StoreKind::Evacuations)
-        m_listedEvacuations.reset();
 }
 
-// While the store fails, the nodes that have taken over from the watchers of their failure domain
-// call it less often the higher their rank, so that the calls do not grow with the number of nodes.
-void Catalog::scheduleRetry(Informer &informer, TimePoint now)
+void Catalog::scheduleRetry(StoreInformer &informer, TimePoint now)
 {
-    const bool hearsPeers = now < m_lastPeerMessage + peerTimeout;
-    const auto share = hearsPeers ? 1 + m_spread.rank() / watchersPerDomain : 1;
-    informer.nextCall = now + retryDelay(informer.failures) * static_cast<Duration::rep>(share);
-    informer.failures = std::min(informer.failures + 1, maxBackoffDoublings);
+    const Duration delay = StoreBackoff::delay(informer.failures(), m_random);
+    informer.retryAfter(delay * m_election.retryShare(m_spread.rank(), now), now);
 }
 
 bool Catalog::apply(const MeshConfig &config, TimePoint now, Outbox<Output> &outbox)
@@ -478,18 +315,19 @@
 
 void Catalog::advance(TimePoint now, Outbox<Output> &outbox)
 {
-    if (!m_startedAt)
-        m_startedAt = now;
+    m_election.start(now);
     updateWatch(now);
     checkEvacuations(now);
-    for (Informer *informer : informers()) {
-        if (informer->pendingCall && now >= informer->pendingCall->overdueAt)
+    for (StoreInformer *informer : informers()) {
+        if (informer->isReplyOverdue(now))
             onOverdue(*informer, now);
         if (isDue(*informer, now))
             listOrWatch(*informer, now, outbox);
     }
-    if (!m_registrationCall && m_nextRegistration && now >= *m_nextRegistration)
-        writeRecord(outbox);
+    if (m_registration.isDue(now)) {
+        const StoreCallId id(m_nextCallId++);
+        outbox.emit(StoreCall { id, m_registration.start(id) });
+    }
     joinListedNodes(now, outbox);
     releaseSnapshot(now, outbox);
     advanceSpread(now, outbox);
@@ -504,72 +342,48 @@
     emitSnapshot(outbox);
 }
 
-std::vector<Catalog::Informer *> Catalog::watchingInformers()
+std::vector<StoreInformer *> Catalog::watchingInformers()
 {
-    std::vector<Informer *> result { &m_configInformer, &m_rolloutInformer };
+    std::vector<StoreInformer *> result { &m_configInformer, &m_rolloutInformer };
     if (m_options.readsEvacuations)
         result.push_back(&m_evacuationInformer);
     return result;
 }
 
-std::vector<Catalog::Informer *> Catalog::informers()
+std::vector<StoreInformer *> Catalog::informers()
 {
-    std::vector<Informer *> result = watchingInformers();
+    std::vector<StoreInformer *> result = watchingInformers();
     result.push_back(&m_nodeInformer);
     return result;
 }
 
-bool Catalog::isDue(const Informer &informer, TimePoint now) const
+bool Catalog::isDue(const StoreInformer &informer, TimePoint now) const
 {
     // The next list of nodes would replace the addresses that are still to be tried.
-    if (informer.kind == StoreKind::Nodes && m_joinCandidates.nextDeadline())
+    if (informer.kind() == StoreKind::Nodes && m_joinCandidates.nextDeadline())
         return false;
-    return !informer.pendingCall && informer.overdueCalls.size() < maxOverdueCalls
-        && informer.nextCall && now >= *informer.nextCall;
+    return informer.isDue(now);
 }
 
-void Catalog::listOrWatch(Informer &informer, TimePoint now, Outbox<Output> &outbox)
+void Catalog::listOrWatch(StoreInformer &informer, TimePoint now, Outbox<Output> &outbox)
 {
+    const bool isNodeList = informer.kind() == StoreKind::Nodes;
     // Nodes are listed only after this node's own registration, so that of two nodes that start
     // together at least one finds the other.
-    if (informer.kind == StoreKind::Nodes && (m_registrationCall || m_nextRegistration)) {
-        informer.nextCall = now + initialBackoff;
-        return;
-    }
+    if (isNodeList && !m_registration.isComplete())
+        return informer.callAt(now + StoreBackoff::initialDelay);
     // By now other nodes may have supplied what the failed calls should have read.
-    const bool isNeeded = informer.kind == StoreKind::Nodes || informer.failures == 0
-        || isWatcher(now) || !m_peerFreshAsOf;
-    if (!isNeeded) {
-        informer.nextCall.reset();
-        return;
-    }
+    const bool isNeeded
+        = isNodeList || informer.failures() == 0 || isWatcher(now) || !m_peerFreshAsOf;
+    if (!isNeeded)
+        return informer.stop();
     const StoreCallId id(m_nextCallId++);
-    const bool isFirstPage = informer.cursor.empty();
-    if (isFirstPage)
-        informer.listStartedAt = now;
-    if (informer.kind == StoreKind::Nodes) {
-        // Lists of nodes are not urgent, and may be long.
-        informer.pendingCall = { id, Read::List, now, TimePoint::max(), now };
-        emitCall(id, StoreList { informer.kind, informer.cursor, m_spread.hasDomainPeers() },
-                 outbox);
-    } else if (informer.resourceVersion && isWatcher(now)) {
-        const Duration wait = watchWait(informer.kind);
-        informer.pendingCall = { id,
-                                 Read::Watch,
-                                 now,
-                                 now + wait + responseTime,
-                                 now,
-                                 version(),
-                                 informer.resourceVersion };
-        emitCall(id, StoreWatch { informer.kind, *informer.resourceVersion, wait }, outbox);
+    if (informer.watchFrom() && isWatcher(now)) {
+        const Duration wait = watchWait(informer.kind());
+        outbox.emit(StoreCall { id, informer.startWatch(id, wait, version(), now) });
     } else {
-        informer.pendingCall = { id,
-                                 isFirstPage ? Read::List : Read::NextPage,
-                                 now,
-                                 now + responseTime,
-                                 informer.listStartedAt,
-                                 version() };
-        emitCall(id, StoreList { informer.kind, informer.cursor, false }, outbox);
+        const bool mayBeStale = isNodeList && m_spread.hasDomainPeers();
+        outbox.emit(StoreCall { id, informer.startList(id, mayBeStale, version(), now) });
     }
 }
 
@@ -581,47 +395,33 @@
                   minWatchWaitFraction + (1 - minWatchWaitFraction) * uniformFraction(m_random));
 }
 
-void Catalog::emitCall(StoreCallId id, StoreOperation operation, Outbox<Output> &outbox)
-{
-    outbox.emit(StoreCall { id, std::move(operation) });
-}
-
 CatalogVersions Catalog::heldVersions() const
 {
     return { version(), m_orders.version().value_or(ObjectVersion()), m_evacuations.version() };
 }
 
-Duration Catalog::retryDelay(std::uint32_t failures)
-{
-    return backoff(initialBackoff, maxBackoff, failures, m_random);
-}
-
 std::optional<TimePoint> Catalog::nextDeadline() const
 {
-    if (!m_startedAt)
+    if (!m_election.startedAt())
         return TimePoint {};
     TimePoint next = m_spread.nextDeadline();
-    if (!m_isWatching)
-        next = std::min(next, takeoverTime());
+    const auto include = [&next](std::optional<TimePoint> time) {
+        if (time)
+            next = std::min(next, *time);
+    };
+    if (!m_election.isWatching())
+        include(m_election.takeoverTime(ownCopy()));
     if (m_isSnapshotHeld)
-        next = std::min(next, snapshotReleaseTime());
-    if (const auto check = evacuationCheckTime())
-        next = std::min(next, *check);
-    if (const auto ask = m_proof.nextAsk())
-        next = std::min(next, *ask);
-    for (const Informer *informer :
-         { &m_configInformer, &m_rolloutInformer, &m_nodeInformer, &m_evacuationInformer }) {
-        if (informer->kind == StoreKind::Evacuations && !m_options.readsEvacuations)
-            continue;
-        if (informer->pendingCall)
-            next = std::min(next, informer->pendingCall->overdueAt);
-        else if (informer->kind == StoreKind::Nodes && m_joinCandidates.nextDeadline())
-            next = std::min(next, *m_joinCandidates.nextDeadline());
-        else if (informer->nextCall && informer->overdueCalls.size() < maxOverdueCalls)
-            next = std::min(next, *informer->nextCall);
-    }
-    if (!m_registrationCall && m_nextRegistration)
-        next = std::min(next, *m_nextRegistration);
+        include(snapshotReleaseTime());
+    include(evacuationCheckTime());
+    include(m_proof.nextAsk());
+    include(m_configInformer.nextDeadline());
+    include(m_rolloutInformer.nextDeadline());
+    if (m_options.readsEvacuations)
+        include(m_evacuationInformer.nextDeadline());
+    const bool areNodesTried = !m_nodeInformer.isPending() && m_joinCandidates.nextDeadline();
+    include(areNodesTried ? m_joinCandidates.nextDeadline() : m_nodeInformer.nextDeadline());
+    include(m_registration.nextDeadline());
     return next;
 }
 
--- a/src/filters/configuration/catalogexchange.cpp
+++ b/src/filters/configuration/catalogexchange.cpp
@@ -45,7 +45,7 @@
 void Catalog::onMessage(PeerReceived<CatalogMessage> &received, TimePoint now,
                         Outbox<Output> &outbox)
 {
-    m_lastPeerMessage = now;
+    m_election.onPeerMessage(now);
     std::visit(
         Overloaded {
             [&](const CatalogDigest &digest) { onDigest(received.from, digest, now, outbox); },
@@ -108,9 +108,12 @@
     for (const RolloutOrder &order : update.orders)
         haveOrdersChanged = m_orders.apply(order) || haveOrdersChanged;
     const bool hasConfigChanged = update.config && apply(from, *update.config, now, outbox);
-    m_configInformer.isSuperseded = m_configInformer.isSuperseded || hasConfigChanged;
-    m_rolloutInformer.isSuperseded = m_rolloutInformer.isSuperseded || haveOrdersChanged;
-    m_evacuationInformer.isSuperseded = m_evacuationInformer.isSuperseded || haveEvacuationsChanged;
+    if (hasConfigChanged)
+        m_configInformer.supersede();
+    if (haveOrdersChanged)
+        m_rolloutInformer.supersede();
+    if (haveEvacuationsChanged)
+        m_evacuationInformer.supersede();
     // The update may have been delayed in transit, but it was created after the pull was sent.
     if (pullSentAt && update.staleness >= Duration::zero())
         updateFreshness(update.versions,
@@ -204,14 +207,14 @@
 
 bool Catalog::waitsForStore(TimePoint now) const
 {
-    return version() == ConfigVersion() && m_configInformer.pendingCall
-        && m_configInformer.failures == 0 && m_startedAt
-        && now < *m_startedAt + startupStoreTimeout;
+    const auto startedAt = m_election.startedAt();
+    return version() == ConfigVersion() && m_configInformer.isPending()
+        && m_configInformer.failures() == 0 && startedAt && now < *startedAt + startupStoreTimeout;
 }
 
 TimePoint Catalog::snapshotReleaseTime() const
 {
-    return m_startedAt.value_or(TimePoint {}) + startupStoreTimeout;
+    return m_election.startedAt().value_or(TimePoint {}) + startupStoreTimeout;
 }
 
 CatalogDigest Catalog::ownDigest(TimePoint now) const
