Accept connections in batches while many are open

Cause: the I/O thread accepted one connection in each turn, behind the reads of all open ones, and the new client stood behind the rest of the crowd. Change: from 256 open connections on, up to 64 are accepted in one turn.

--- a/src/endpoints/httpserver.cpp
+++ b/src/endpoints/httpserver.cpp
@@ -14,6 +14,10 @@
 constexpr auto retryInterval = std::chrono::milliseconds(20);
 constexpr auto acceptRetryInterval = std::chrono::milliseconds(100);
 constexpr auto logInterval = std::chrono::seconds(10);
+// From this number of open connections on, their data can keep the thread busy for long between two
+// accepts.
+constexpr std::size_t crowdedConnections = 256;
+constexpr int acceptsInTurn = 64;
 
 } // namespace
 
@@ -29,6 +33,7 @@
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(endpoint);
     m_acceptor.listen();
+    m_acceptor.non_blocking(true); // for acceptPending()
 }
 
 void HttpServer::Impl::accept()
@@ -36,12 +41,30 @@
     m_acceptor.async_accept([self = shared_from_this()](ErrorCodeType error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             return;
-        if (!error)
+        if (!error) {
             self->open(std::move(socket));
+            error = self->acceptPending();
+        }
         self->onAccepted(error);
     });
 }
 
+// One accept in each turn of the thread would let a new client wait for one turn of all other
+// connections for each client before it.
+ErrorCodeType HttpServer::Impl::acceptPending()
+{
+    for (int i = 0; i < acceptsInTurn && m_sessionCount >= crowdedConnections; ++i) {
+        if (m_memory.connections() > m_memory.limits().connections)
+            break;
+        ErrorCodeType error;
+        tcp::socket socket = m_acceptor.accept(error);
+        if (error)
+            return error == asio::error::would_block ? ErrorCodeType() : error;
+        open(std::move(socket));
+    }
+    return {};
+}
+
 void HttpServer::Impl::onAccepted(ErrorCodeType error)
 {
     const bool isFull = m_memory.connections() > m_memory.limits().connections;
--- a/src/endpoints/httpserverimpl.h
+++ b/src/endpoints/httpserverimpl.h
@@ -48,6 +48,7 @@
 
     // The asynchronous accept goes on only while there is room for another connection. One more
     // than the limit is accepted, so that a new client takes the place of one that does nothing.
+    [[nodiscard]] ErrorCodeType acceptPending();
     void onAccepted(ErrorCodeType error);
 
     void closeExcess(std::size_t descriptors);
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -100,6 +100,45 @@
     tcp::socket client { clientIo };
 };
 
+// A server with many open connections, on an io_context that the test runs step by step.
+class CrowdedHttpServerFixture
+{
+protected:
+    // Connects more clients; the server has not accepted them yet.
+    void connect(std::size_t count)
+    {
+        const tcp::endpoint address(asio::ip::make_address("127.0.0.1"), server.port());
+        for (std::size_t i = 0; i < count; ++i)
+            clients.emplace_back(clientIo).connect(address);
+    }
+
+    // Runs until the server has accepted more than `count` connections.
+    void runUntilAbove(std::size_t count)
+    {
+        while (server.connectionCount() <= count)
+            io.run_one();
+    }
+
+    asio::io_context io;
+    impl::HttpServer server {
+        io, { "127.0.0.1", 0 }, 400, { [](impl::ExchangeId, auto &&) {}, {} }
+    };
+    asio::io_context clientIo;
+    std::vector<tcp::socket> clients;
+};
+
+// Guards against a new client that waits behind the data of a crowd: one connection was accepted
+// for each turn of all others.
+TEST_CASE_METHOD(CrowdedHttpServerFixture,
+                 "HttpServer_manyConnectionsAreOpen_pendingOnesAreAcceptedTogether")
+{
+    connect(300);
+    runUntilAbove(299);
+    connect(40);
+    runUntilAbove(300);
+    CHECK(server.connectionCount() == 340);
+}
+
 // Guards against closing a connection from which a request has just been read.
 TEST_CASE_METHOD(HttpServerStepsFixture, "HttpServer_requestReadAsTheGraceEnds_isAnswered")
 {
