--- a/tests/largebodytest.cpp
+++ b/tests/largebodytest.cpp
@@ -255,9 +255,11 @@
         }
         client.start();
         announcements.start();
-        announcer = std::jthread([this](const std::stop_token &stop) {
+        // A copy, because tests remove settings.
+        const NetAddress address = settings.back().announceAddress;
+        announcer = std::jthread([this, address](const std::stop_token &stop) {
             for (std::uint64_t i = 1; !stop.stop_requested(); ++i) {
-                (void)callOnce(announcements, settings.back().announceAddress,
+                (void)callOnce(announcements, address,
                                announcementOf("i-1", server.address(), i, "ready"));
                 std::this_thread::sleep_for(milliseconds(100));
             }
