--- /dev/null
+++ b/review/standin-2/cases.cpp
@@ -0,0 +1,227 @@
+// What each case sends, what it disturbs, and its check.
+#include "cases.h"
+
+#include "mesh.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace review {
+namespace {
+
+constexpr std::int64_t stableWindowMs = 3000;
+constexpr std::int64_t readyWithinMs = 15'000;
+
+struct Event
+{
+    std::int64_t at = 0;
+    std::string text;
+
+    [[nodiscard]] bool is(const std::string &kind) const { return text.starts_with(kind + " "); }
+    [[nodiscard]] bool names(const std::string &field) const
+    {
+        return (text + " ").find(" " + field + " ") != std::string::npos;
+    }
+};
+
+std::vector<Event> readEvents(const std::string &file)
+{
+    std::vector<Event> events;
+    std::ifstream input(file);
+    for (std::string line; std::getline(input, line);) {
+        const std::size_t space = line.find(' ');
+        events.push_back({ std::strtoll(line.c_str(), nullptr, 10), line.substr(space + 1) });
+    }
+    return events;
+}
+
+// Writes what was sent, answered and run, with times since the start of the case.
+void writeRecord(const CaseOptions &options, const std::vector<Event> &events, std::int64_t start,
+                 const std::string &summary)
+{
+    std::ofstream record(options.record);
+    record << summary << "\n";
+    for (const Event &event : events)
+        record << event.at - start << " ms " << event.text << "\n";
+}
+
+// Clients of all machines that read stock, and never wait for long.
+class Readers
+{
+public:
+    explicit Readers(Mesh &mesh, std::int64_t pauseMs) : m_mesh(mesh)
+    {
+        for (std::size_t i = 0; i < mesh.size(); ++i) {
+            m_threads.emplace_back([this, i, pauseMs] {
+                for (int number = 0; !m_isOver; ++number) {
+                    const std::string name = std::to_string(i) + "-" + std::to_string(number);
+                    callAsClient(m_mesh, m_mesh.machine(i).outbound, "GET", "/stock/" + name,
+                                 "read-" + name, 1500, 1500);
+                    sleepMs(pauseMs);
+                }
+            });
+        }
+    }
+    ~Readers()
+    {
+        m_isOver = true;
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+    Readers(const Readers &) = delete;
+    Readers &operator=(const Readers &) = delete;
+
+private:
+    Mesh &m_mesh;
+    std::atomic<bool> m_isOver { false };
+    std::vector<std::thread> m_threads;
+};
+
+std::int64_t numberFrom(const char *variable, std::int64_t otherwise)
+{
+    const char *text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::strtol(text, nullptr, 10);
+}
+
+} // namespace
+
+Verdict playCrashingRequest(const CaseOptions &options)
+{
+    const std::string path = "/stock/crash";
+    constexpr std::int64_t deadlineMs = 1500;
+    constexpr std::int64_t leaveAfterMs = 200; // half of the objective
+    constexpr std::int64_t crashAfterMs = 300; // of the start of its work
+    constexpr std::int64_t downMs = 2000;
+    constexpr std::int64_t pauseMs = 2000;
+    constexpr std::int64_t playMs = 50'000;
+    constexpr int allowed = 3;
+    const std::int64_t start = nowMs();
+    MeshOptions mesh {
+        options.self, options.sidecar, options.folder, std::vector<std::string>(9, "orders"), {}, {}
+    };
+    mesh.upstream.crashPath = path;
+    mesh.upstream.crashAfterMs = crashAfterMs;
+    Mesh world(mesh);
+    world.store().put("config", "main", configuration(3));
+    if (!world.startAll(readyWithinMs))
+        return Verdict::NotRun;
+    world.keepUpstreams(downMs);
+    const std::int64_t staysMs = options.hasTrouble ? leaveAfterMs : deadlineMs;
+    int sent = 0;
+    {
+        const Readers readers(world, 300);
+        const std::int64_t end = nowMs() + playMs;
+        for (std::size_t round = 0; nowMs() < end; ++round) {
+            const Address &outbound = world.machine(round % world.size()).outbound;
+            callAsClient(world, outbound, "GET", path, "crash-" + std::to_string(round), deadlineMs,
+                         staysMs);
+            ++sent;
+            sleepMs(pauseMs);
+        }
+    }
+    world.stopAll();
+    const std::vector<Event> events = readEvents(world.eventsFile());
+    std::vector<std::int64_t> crashes;
+    for (const Event &event : events)
+        if (event.is("crash"))
+            crashes.push_back(event.at);
+    int late = 0;
+    int runs = 0;
+    int readsLost = 0;
+    for (const Event &event : events) {
+        readsLost += event.is("answered") && event.text.find(" id=read-") != std::string::npos
+                && !event.names("status=200")
+            ? 1
+            : 0;
+        if (!event.is("run") || !event.names("request=GET:" + path))
+            continue;
+        ++runs;
+        late += crashes.size() >= 3 && event.at > crashes[2] + stableWindowMs ? 1 : 0;
+    }
+    std::ostringstream summary;
+    summary << "sent=" << sent << " arrivals=" << runs << " crashes=" << crashes.size()
+            << " arrivals later than stable_window_ms after the third crash=" << late
+            << " allowed=" << allowed << " other reads not served=" << readsLost;
+    writeRecord(options, events, start, summary.str());
+    std::cout << summary.str() << "\n";
+    if (crashes.size() < 3)
+        return Verdict::NotRun;
+    return late > allowed ? Verdict::Broken : Verdict::Held;
+}
+
+Verdict playLeavingServer(const CaseOptions &options)
+{
+    constexpr std::int64_t drainMs = 2000;
+    constexpr std::int64_t killAfterMs = 500;
+    constexpr std::int64_t restartAfterMs = 500;
+    constexpr std::int64_t beatLateMs = 1800;
+    constexpr std::int64_t servesMs = 9000; // after the acknowledgement
+    constexpr std::size_t leaving = 0;
+    const std::int64_t start = nowMs();
+    MeshOptions mesh {
+        options.self, options.sidecar, options.folder, std::vector<std::string>(9, "orders"), {}, {}
+    };
+    mesh.store.sendsObjectAfterPost = numberFrom("OBJECT_AFTER_POST", 0) != 0;
+    Mesh world(mesh);
+    world.store().put("config", "main", configuration(3));
+    world.sendBeatsOf(leaving);
+    if (!world.startAll(readyWithinMs))
+        return Verdict::NotRun;
+    std::int64_t acknowledgedAt = 0;
+    std::int64_t inTouchFrom = 0;
+    std::int64_t endedAt = 0;
+    bool isAcknowledged = false;
+    bool isLateBeatTaken = false;
+    {
+        const Readers readers(world, 30);
+        sleepMs(3000);
+        // Sent before the server leaves, and held up on its way.
+        const std::string lateBeat = world.takeBeatOf(leaving);
+        const std::int64_t lateBeatAt = nowMs() + beatLateMs;
+        isAcknowledged = world.leave(leaving);
+        acknowledgedAt = nowMs();
+        inTouchFrom = acknowledgedAt;
+        if (options.hasTrouble) {
+            sleepMs(killAfterMs);
+            world.machine(leaving).sidecar.kill();
+            appendEvent(world.eventsFile(), "killed " + world.machine(leaving).name);
+            sleepMs(restartAfterMs);
+            world.startSidecar(leaving);
+            appendEvent(world.eventsFile(), "started " + world.machine(leaving).name);
+            inTouchFrom = nowMs() + stableWindowMs;
+        }
+        sleepMs(lateBeatAt - nowMs());
+        isLateBeatTaken = world.sendToControl(leaving, lateBeat);
+        sleepMs(acknowledgedAt + servesMs - nowMs());
+        endedAt = nowMs();
+        world.machine(leaving).upstream.kill();
+    }
+    const std::string id = world.upstreamOf(leaving).id;
+    world.stopAll();
+    const std::vector<Event> events = readEvents(world.eventsFile());
+    int before = 0;
+    int late = 0;
+    for (const Event &event : events) {
+        if (!event.is("run") || !event.names("at=" + id))
+            continue;
+        before += event.at < acknowledgedAt ? 1 : 0;
+        late += event.at > acknowledgedAt + drainMs && event.at > inTouchFrom ? 1 : 0;
+    }
+    std::ostringstream summary;
+    summary << "acknowledged at " << acknowledgedAt - start << " ms, in touch from "
+            << inTouchFrom - start << " ms, ended at " << endedAt - start
+            << " ms; run before the acknowledgement=" << before
+            << " run later than drain_ms after it, by machines in touch=" << late;
+    writeRecord(options, events, start, summary.str());
+    std::cout << summary.str() << "\n";
+    if (!isAcknowledged || !isLateBeatTaken || before == 0)
+        return Verdict::NotRun;
+    return late > 0 ? Verdict::Broken : Verdict::Held;
+}
+
+} // namespace review
