Review case 7: a silent store at the restart lets a departed server in again (DRAIN)

A server deregisters, its sidecar is killed, and the store is silent for 4.5 s from the restart on. A heartbeat that was sent before the departure arrives 3.5 s late and opens the gate.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -158,19 +158,28 @@
     return late > allowed ? Verdict::Broken : Verdict::Held;
 }
 
-Verdict playLeavingServer(const CaseOptions &options)
+namespace {
+
+// A server leaves, and a heartbeat that it sent before arrives late.
+struct LeavePlan
+{
+    StoreOptions store {};
+    bool isKilled = false; // the sidecar, and started again
+    std::int64_t beatLateMs = 0;
+    std::int64_t storeSilentMs = 0; // from just before the restart
+};
+
+Verdict playLeave(const CaseOptions &options, const LeavePlan &plan)
 {
     constexpr std::int64_t drainMs = 2000;
     constexpr std::int64_t killAfterMs = 500;
     constexpr std::int64_t restartAfterMs = 500;
-    constexpr std::int64_t beatLateMs = 1800;
     constexpr std::int64_t servesMs = 9000; // after the acknowledgement
     constexpr std::size_t leaving = 0;
     const std::int64_t start = nowMs();
-    MeshOptions mesh {
-        options.self, options.sidecar, options.folder, std::vector<std::string>(9, "orders"), {}, {}
-    };
-    mesh.store.sendsObjectAfterPost = numberFrom("OBJECT_AFTER_POST", 0) != 0;
+    MeshOptions mesh { options.self,   options.sidecar,
+                       options.folder, std::vector<std::string>(9, "orders"),
+                       plan.store,     {} };
     Mesh world(mesh);
     world.store().put("config", "main", configuration(3));
     world.sendBeatsOf(leaving);
@@ -181,20 +190,32 @@
     std::int64_t endedAt = 0;
     bool isAcknowledged = false;
     bool isLateBeatTaken = false;
+    std::thread storeBack;
     {
         const Clients clients(world, "GET", "/stock/", 30);
         sleepMs(3000);
         // Sent before the server leaves, and held up on its way.
         const std::string lateBeat = world.takeBeatOf(leaving);
-        const std::int64_t lateBeatAt = nowMs() + beatLateMs;
+        const std::int64_t lateBeatAt = nowMs() + plan.beatLateMs;
         isAcknowledged = world.leave(leaving);
         acknowledgedAt = nowMs();
         inTouchFrom = acknowledgedAt;
-        if (options.hasTrouble) {
-            sleepMs(killAfterMs);
+        sleepMs(killAfterMs);
+        if (plan.isKilled) {
             world.machine(leaving).sidecar.kill();
             appendEvent(world.eventsFile(), "killed " + world.machine(leaving).name);
-            sleepMs(restartAfterMs);
+        }
+        sleepMs(restartAfterMs);
+        if (plan.storeSilentMs > 0) {
+            world.store().setSilent(true);
+            appendEvent(world.eventsFile(), "store silent");
+            storeBack = std::thread([&world, &plan] {
+                sleepMs(plan.storeSilentMs);
+                world.store().setSilent(false);
+                appendEvent(world.eventsFile(), "store back");
+            });
+        }
+        if (plan.isKilled) {
             world.startSidecar(leaving);
             appendEvent(world.eventsFile(), "started " + world.machine(leaving).name);
             inTouchFrom = nowMs() + stableWindowMs;
@@ -204,6 +225,8 @@
         sleepMs(acknowledgedAt + servesMs - nowMs());
         endedAt = nowMs();
         world.machine(leaving).upstream.kill();
+        if (storeBack.joinable())
+            storeBack.join();
     }
     const std::string id = world.upstreamOf(leaving).id;
     world.stopAll();
@@ -228,6 +251,26 @@
     return late > 0 ? Verdict::Broken : Verdict::Held;
 }
 
+} // namespace
+
+Verdict playLeavingServer(const CaseOptions &options)
+{
+    LeavePlan plan;
+    plan.store.sendsObjectAfterPost = numberFrom("OBJECT_AFTER_POST", 0) != 0;
+    plan.isKilled = options.hasTrouble;
+    plan.beatLateMs = 1800;
+    return playLeave(options, plan);
+}
+
+Verdict playSilentStoreAtRestart(const CaseOptions &options)
+{
+    LeavePlan plan;
+    plan.isKilled = options.hasTrouble;
+    plan.beatLateMs = 3500;
+    plan.storeSilentMs = options.hasTrouble ? numberFrom("STORE_SILENT_MS", 4500) : 0;
+    return playLeave(options, plan);
+}
+
 Verdict playHiddenRequest(const CaseOptions &options)
 {
     constexpr int attempts = 20;
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -21,6 +21,8 @@
 /// A server leaves, its node is killed, and the store answers the POST of an object that exists
 /// with 409 alone (rule DRAIN).
 [[nodiscard]] Verdict playLeavingServer(const CaseOptions &options);
+/// A server leaves, its node is killed, and the store is silent while the node starts (rule DRAIN).
+[[nodiscard]] Verdict playSilentStoreAtRestart(const CaseOptions &options);
 
 /// A body with a transfer coding that is not "chunked" holds the text of a request (rule UNASKED).
 [[nodiscard]] Verdict playHiddenRequest(const CaseOptions &options);
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -47,6 +47,8 @@
         return static_cast<int>(review::playCrashingRequest(options));
     if (words[1] == "leaving-server")
         return static_cast<int>(review::playLeavingServer(options));
+    if (words[1] == "silent-store")
+        return static_cast<int>(review::playSilentStoreAtRestart(options));
     if (words[1] == "hidden-request")
         return static_cast<int>(review::playHiddenRequest(options));
     std::cerr << "standin-2: no case '" << words[1] << "'\n";
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -59,8 +59,14 @@
 
 void Store::onConnection(Connection &connection)
 {
+    bool isLost = false; // a connection on which an answer is lost returns nothing further
     while (auto request = connection.read(idleMs)) {
-        if (!connection.write(respond(*request)))
+        isLost = isLost || m_isSilent;
+        if (isLost)
+            continue;
+        const std::string response = respond(*request);
+        isLost = m_isSilent;
+        if (!isLost && !connection.write(response))
             return;
     }
 }
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -3,6 +3,7 @@
 
 #include "net.h"
 
+#include <atomic>
 #include <boost/json.hpp>
 #include <condition_variable>
 #include <deque>
@@ -30,6 +31,8 @@
         m_listener.serve([this](Connection &connection) { onConnection(connection); });
     }
 
+    /// A silent store takes calls and never answers them, also not later.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Writes as the operator does. Replaces what is there.
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
 
@@ -52,6 +55,7 @@
     void store(const std::string &kind, boost::json::object object);
 
     const StoreOptions m_options;
+    std::atomic<bool> m_isSilent { false };
     Listener m_listener;
     std::mutex m_mutex; // guards all below
     std::condition_variable m_changed;
